relay: waiting for a connection costs; homes of removed databases are left alone

Cause 1: a read waited at the cheapest server for a connection until it was refused, while others that could run it stood idle and cost 2 to 3 ms more: a server without an idle connection cost 12 ms more, however long it had not had one. What a run has waited is now part of what waiting costs it, so it goes elsewhere at the next event or tick.

Homes are worked out anew with each configuration, and no connection is opened to a proxy that isn't listed.

Both tests fail without the change.

--- a/packages/relay/src/peer.c
+++ b/packages/relay/src/peer.c
@@ -89,7 +89,7 @@
 }
 
 /* Works out who the service's homes are. */
-void rpr_rank(struct rservice *v)
+static void rank_service(struct rservice *v)
 {
 	unsigned order[HOMES_MAX];
 	unsigned i, n, n_homes;
@@ -125,7 +125,7 @@
 
 	g_hash_table_iter_init(&iter, r->services);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		rpr_rank(value);
+		rank_service(value);
 }
 
 static void free_info(gpointer data)
@@ -216,8 +216,7 @@
 	g_ptr_array_add(via->servers, s);
 }
 
-static void list_homes(struct rservice *via, const struct rservice *v,
-		       uint64_t now_us)
+static void unlist_homes(struct rservice *via, uint64_t now_us)
 {
 	unsigned i;
 
@@ -227,6 +226,14 @@
 		s->listed = false;
 		s->unlisted_us = now_us;
 	}
+}
+
+static void list_homes(struct rservice *via, const struct rservice *v,
+		       uint64_t now_us)
+{
+	unsigned i;
+
+	unlist_homes(via, now_us);
 	for (i = 0; i < VIA_HOMES; i++) {
 		const struct relay_server_info *p = next_home(v, via);
 
@@ -238,8 +245,9 @@
 }
 
 /*
- * Failure: a database isn't asked for here any more; its homes stay listed,
- * and one that stopped is connected to for ever.
+ * Failure: a database isn't asked for here any more, or was taken out of the
+ * configuration; its homes stay listed, and one that stopped, or that refuses
+ * the database, is connected to several times a second for ever.
  */
 static void list_all(struct relay *r, uint64_t now_us)
 {
@@ -257,6 +265,8 @@
 			v = g_hash_table_lookup(r->services, profile->service);
 		if (v)
 			list_homes(via, v, now_us);
+		else
+			unlist_homes(via, now_us);
 	}
 }
 
@@ -327,6 +337,13 @@
 	r->peers_held_us = now_us;
 }
 
+/* Another configuration: the homes of its databases. */
+void rpr_on_catalog(struct relay *r, uint64_t now_us)
+{
+	rank_all(r);
+	list_all(r, now_us);
+}
+
 /* Believes a short list that nothing has followed. */
 void rpr_tick(struct relay *r, uint64_t now_us)
 {
--- a/packages/relay/src/pick.c
+++ b/packages/relay/src/pick.c
@@ -25,13 +25,27 @@
 		       PRIMARY_COST_US;
 	if (g_strcmp0(s->info.zone, s->relay->zone))
 		cost += OTHER_ZONE_COST_US;
-	if (!s->idle.length)
-		cost += OPEN_COST_US;
 	if (s->relay->guards.avoid_outliers)
 		cost += rol_cost_us(&s->outlier, now_us);
 	return cost;
 }
 
+/*
+ * What it costs the run that a server has no idle connection.
+ *
+ * Failure: the cheapest server's connections are all in use, or its new one
+ * never comes up. The statement waits there until it is refused, while others
+ * that may run it have idle connections and cost a few ms more. Guard: what it
+ * has waited so far is what waiting costs, so it soon goes elsewhere.
+ */
+static uint64_t wait_cost_us(const struct rserver *s, const struct rrun *run,
+			     uint64_t now_us)
+{
+	if (s->idle.length)
+		return 0;
+	return OPEN_COST_US + (now_us - MIN(run->arrived_us, now_us));
+}
+
 static bool can_lend(const struct rserver *s, uint64_t now_us)
 {
 	return s->idle.length || s->n_opening || rcn_may_open(s, now_us);
@@ -121,7 +135,8 @@
 
 	if (!can_lend(s, now_us))
 		return;
-	cost = cost_us(s, now_us) + failures(run, s) * USEC_PER_SEC;
+	cost = cost_us(s, now_us) + wait_cost_us(s, run, now_us) +
+	       failures(run, s) * USEC_PER_SEC;
 	if (*best && cost >= *least)
 		return;
 	*best = s;
--- a/packages/relay/src/relay.c
+++ b/packages/relay/src/relay.c
@@ -169,8 +169,8 @@
 
 		rls_service(r, conf->name)->max_connections =
 			conf->max_connections;
-		rpr_rank(rls_service(r, conf->name));
 	}
+	rpr_on_catalog(r, now_us);
 	rrun_dispatch(r, now_us);
 }
 
--- a/packages/relay/src/relay_internal.h
+++ b/packages/relay/src/relay_internal.h
@@ -392,7 +392,7 @@
 
 /* peer.c */
 GPtrArray *rpr_table(void);
-void rpr_rank(struct rservice *v);
+void rpr_on_catalog(struct relay *r, uint64_t now_us);
 void rpr_tick(struct relay *r, uint64_t now_us);
 bool rpr_may_help(const struct rsession *s, const struct rservice *v,
 		  uint64_t now_us);
--- a/packages/relay/src/server.c
+++ b/packages/relay/src/server.c
@@ -269,6 +269,8 @@
 {
 	if (s->n_opening || now_us < s->open_after_us)
 		return false;
+	if (s->service->peers && !s->listed)
+		return false; /* nobody replaces it, so nobody must know */
 	return !s->n_conns || s->order_wanted ||
 	       now_us > s->heard_us + IDLE_PROBE_US || s->failing_us ||
 	       (s->in_flight && now_us > s->heard_us + IN_FLIGHT_QUIET_US);
--- a/packages/relay/tests/test_homes.c
+++ b/packages/relay/tests/test_homes.c
@@ -290,6 +290,58 @@
 }
 END_TEST
 
+/* The configuration without any database, at every relay. */
+static void remove_databases(struct fake *f)
+{
+	struct relay_catalog *c = catalog_of(f->max_connections);
+	unsigned i;
+
+	for (i = 0; i < f->n_relays; i++)
+		relay_on_catalog(f->relays[i].relay, c, f->now_us);
+	relay_catalog_unref(c);
+}
+
+/* Each connection between relays ends at the far end. */
+static void break_peer_conns(struct fake *f)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, f->conns);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct fake_conn *c = value;
+
+		if (c->peer && c->open)
+			fake_hang_up(c->peer, PEER_SESSION | c->key);
+	}
+}
+
+/*
+ * Operators retire a market's databases. Proxies that had used them went on
+ * connecting to their homes six times a second each, were told each time that
+ * there is no such database, and the homes had that much less for callers.
+ */
+START_TEST(test_homes_of_a_removed_database_are_left_alone)
+{
+	struct fake *f = start((uint32_t)_i, RELAYS);
+	unsigned i, before;
+
+	come(f);
+	fake_run(f, USEC_PER_SEC);
+	for (i = 0; i < CALLERS; i++)
+		if (callers[i]->open)
+			hist_close(f, callers[i]);
+	remove_databases(f);
+	break_peer_conns(f);
+	fake_run(f, USEC_PER_SEC);
+	before = f->n_serials;
+	fake_run(f, 10 * USEC_PER_SEC);
+	/* Homes' own connections to servers are renewed now and then. */
+	ck_assert_uint_le(f->n_serials, before + 4 * GROUP_SIZE);
+	end(f);
+}
+END_TEST
+
 /*
  * One proxy (0) or two of three (1) are cut off from a primary that serves
  * the rest. A change would stop all writes for a second; two that ask each
@@ -382,6 +434,8 @@
 	tcase_add_loop_test(tc, test_floor_does_not_stick, 0, 5);
 	tcase_add_loop_test(tc, test_dead_home_is_passed_by, 0, 12);
 	tcase_add_loop_test(tc, test_home_that_stops_is_not_noticed, 0, 6);
+	tcase_add_loop_test(tc, test_homes_of_a_removed_database_are_left_alone,
+			    0, 3);
 	tcase_add_loop_test(tc, test_way_round_a_cut, 0, 6);
 	tcase_add_loop_test(tc, test_the_way_round_ends_in_time, 0, 6);
 	tcase_add_loop_test(tc, test_a_lapsed_list_makes_no_homes, 0, 3);
--- a/packages/relay/tests/test_routing.c
+++ b/packages/relay/tests/test_routing.c
@@ -177,6 +177,36 @@
 }
 END_TEST
 
+static struct rserver *server_of(struct fake *f, const char *id)
+{
+	return g_hash_table_lookup(f->relays[0].relay->servers, id);
+}
+
+/*
+ * An adviser's long transaction holds the nearest replica's only connection,
+ * and a new one never comes up. The other replica stands idle and costs a few
+ * ms more; members' log views waited at the first until they were refused.
+ */
+START_TEST(test_an_idle_server_is_not_passed_by)
+{
+	struct fake *f = start();
+	struct hist_session *a = hist_open(f, 0, 0, RELAY_KIND_BOUNDED);
+	struct hist_session *b = hist_open(f, 0, 0, RELAY_KIND_BOUNDED);
+
+	reads_at_replicas(f, RELAY_KIND_BOUNDED);
+	server_of(f, "s1")->latency_us = 10 * MS;
+	server_of(f, "s0")->latency_us = server_of(f, "s2")->latency_us =
+		30 * MS;
+	ck_assert_int_eq(hist_run(f, a, RELAY_BEGIN_READ, "", ""), RELAY_OK);
+	ck_assert_int_eq(hist_run(f, a, RELAY_READ, "", "1"), RELAY_OK);
+	ck_assert_uint_eq(server_of(f, "s1")->idle.length, 0);
+	f->servers[1].dark = true;
+	ck_assert_int_eq(hist_run(f, b, RELAY_READ, "", "1"), RELAY_OK);
+	ck_assert_uint_gt(server_of(f, "s1")->n_opening, 0);
+	end(f);
+}
+END_TEST
+
 static void next_read(struct fake *f, void *data)
 {
 	struct hist_session *s = data;
@@ -257,6 +287,7 @@
 	tcase_add_test(tc, test_callers_share_few_connections);
 	tcase_add_test(tc, test_reads_go_on_without_a_primary);
 	tcase_add_test(tc, test_refused_early_with_a_time);
+	tcase_add_test(tc, test_an_idle_server_is_not_passed_by);
 	tcase_add_loop_test(tc, test_a_server_that_fails_in_part_gets_less, 0,
 			    2);
 	tcase_add_test(tc, test_an_overload_makes_no_outlier);
