relay: an adaptive limit of what is in flight at a server

All that must be fresh goes to its primary, 1.5 times what its slots can run; each home keeps five statements there, its queue is full (100 ms), it sheds, and of 479 requests in two seconds 50 to 200 are served in time, though it works all the while.

Ruled out: connections (35 of 35 in use, but 27 statements wait in the server already); a limit that shrinks only when the server sheds, tried before: the queue is full by then.

Change: a home limits the connections that are busy at a server. What waits here is ordered by priority, then by when it is due.

Test: test_overload plays twice a primary's load; without the guard fewer than half as many are served in time.

--- a/packages/relay/src/conn.c
+++ b/packages/relay/src/conn.c
@@ -66,6 +66,8 @@
 		s->n_opening--;
 	if (c->state == RCONN_IDLE)
 		g_queue_unlink(&s->idle, &c->link);
+	if (c->step != STEP_NONE)
+		s->n_busy--;
 	if (c->state == RCONN_LENT && c->step == STEP_CALLER)
 		s->in_flight--;
 	if (c->session)
@@ -85,11 +87,14 @@
 	      const struct relay_statement *statement, uint64_t timeout_us,
 	      uint64_t now_us)
 {
+	if (c->step == STEP_NONE)
+		c->server->n_busy++;
 	c->step = step;
 	c->sent_us = now_us;
 	c->deadline_us = now_us + timeout_us;
 	if (step == STEP_CALLER)
 		c->server->in_flight++;
+	rcl_on_sent(c->server);
 	if (!statement->id.len)
 		counter_add(c->relay->n_own, 1);
 	c->relay->ops->send(c->relay->ctx, c->id, statement);
@@ -392,6 +397,25 @@
 	rrun_dispatch(r, now_us);
 }
 
+/* What an answer to a caller's statement shows of its server's load. */
+static void note_load(struct rconn *c, enum relay_code code, uint64_t took_us,
+		      uint64_t now_us)
+{
+	struct rserver *s = c->server;
+	const struct relay_profile *profile = NULL;
+
+	s->latency_us = (s->latency_us * 7 + took_us) / 8;
+	rmt_answered(s, took_us);
+	if (s->service->peers)
+		return;
+	rol_on_answer(&s->outlier, code, now_us);
+	if (c->session)
+		profile = relay_catalog_profile(c->relay->catalog,
+						c->session->database);
+	if (profile)
+		rcl_on_answer(s, took_us, profile->aim_us, code, now_us);
+}
+
 /* An answer to what a connection had in flight. */
 void relay_conn_answer(struct relay *r, uint64_t conn,
 		       const struct relay_answer *answer, uint64_t now_us)
@@ -407,12 +431,10 @@
 	step = c->step;
 	sent_us = c->sent_us;
 	c->step = STEP_NONE;
+	s->n_busy--;
 	if (step == STEP_CALLER) {
 		s->in_flight--;
-		s->latency_us = (s->latency_us * 7 + (now_us - sent_us)) / 8;
-		rmt_answered(s, now_us - sent_us);
-		if (!s->service->peers)
-			rol_on_answer(&s->outlier, answer->code, now_us);
+		note_load(c, answer->code, now_us - sent_us, now_us);
 	}
 	rsv_heard(s, answer, sent_us, now_us);
 	if (step == STEP_STATUS || step == STEP_ORDER)
--- a/packages/relay/src/pick.c
+++ b/packages/relay/src/pick.c
@@ -48,7 +48,8 @@
 
 static bool can_lend(const struct rserver *s, uint64_t now_us)
 {
-	return s->idle.length || s->n_opening || rcn_may_open(s, now_us);
+	return !rcl_is_full(s) &&
+	       (s->idle.length || s->n_opening || rcn_may_open(s, now_us));
 }
 
 /* Why the primary may not run anything now; NULL: it may. */
@@ -173,6 +174,8 @@
 {
 	struct rserver *server = out->server;
 
+	if (rcl_is_full(server))
+		return;
 	out->conn = rcn_take(server, s);
 	if (!out->conn && !server->n_opening && rcn_may_open(server, now_us))
 		rcn_open(server, now_us);
@@ -240,6 +243,8 @@
 static void log_server(const struct rserver *s, const char *blocker,
 		       struct log_line *l, uint64_t now_us)
 {
+	if (!blocker && rcl_is_full(s))
+		blocker = "at-limit";
 	if (!blocker && !can_lend(s, now_us))
 		blocker = "no-connection";
 	log_object(l, NULL);
@@ -249,6 +254,7 @@
 		log_u64(l, "heard_ms",
 			(now_us - MIN(s->heard_us, now_us)) / USEC_PER_MSEC);
 	log_u64(l, "in_flight", s->in_flight);
+	log_u64(l, "limit", (uint64_t)s->limit.most);
 	log_u64(l, "stuck", s->n_stuck);
 	log_u64(l, "connections", s->n_conns);
 	log_u64(l, "idle", s->idle.length);
--- a/packages/relay/src/relay_internal.h
+++ b/packages/relay/src/relay_internal.h
@@ -5,8 +5,8 @@
  * The relay's tables and the systems that run over them. Prefixes: rsv_
  * servers, rcn_ their connections, rss_ callers' sessions, rrun_ the statement
  * that a session has in flight, rpk_ which server runs it, rld_ who is
- * primary, rch_ its replacement, rol_ servers that fail in part, rlg_ log
- * lines, rmt_ metrics.
+ * primary, rch_ its replacement, rol_ servers that fail in part, rcl_ limits of
+ * what is in flight at a server, rlg_ log lines, rmt_ metrics.
  */
 
 #include <celeryquay/base/log_event.h>
@@ -63,20 +63,33 @@
 	uint64_t noted_us;
 };
 
+/* How many connections to a server may be busy at once; see climit.c. */
+struct rclimit {
+	double most; /* 0: no limit */
+	unsigned peak; /* busy at once since it was judged */
+	unsigned n; /* answers since then */
+	unsigned n_slow; /* of these, slow or shed */
+	uint64_t judged_us;
+};
+
 struct rserver {
 	struct relay *relay;
 	struct rservice *service;
 	struct relay_server_info info;
 	bool listed;
+	bool moved; /* another server answers at its address */
+	bool refused; /* nothing listens there */
+	bool probe_now;
+	bool order_wanted; /* in place of the next status */
 	uint64_t unlisted_us; /* left the list then */
 	uint64_t leaving_us; /* was first seen leaving then */
-	bool moved; /* another server answers at its address */
 
 	struct rconn *probing; /* carries a status or an order now */
 	GQueue idle;
 	unsigned n_conns; /* opening ones included */
 	unsigned n_opening;
 	unsigned in_flight; /* callers' statements */
+	unsigned n_busy; /* connections that wait for an answer */
 	unsigned n_stuck; /* of these, answers that are probably lost */
 	uint64_t open_after_us;
 	uint64_t full_until_us; /* it refused one connection too many */
@@ -88,13 +101,11 @@
 	uint64_t status_us; /* start of the probe that gave it, 0: none */
 	uint64_t heard_us;
 	uint64_t failing_us; /* since when probes fail, 0: they don't */
-	bool refused; /* nothing listens there */
 	uint64_t probed_us; /* the last probe was sent then */
-	bool probe_now;
 	uint64_t latency_us; /* smoothed, of callers' statements */
 	struct routlier outlier;
+	struct rclimit limit;
 
-	bool order_wanted;
 	enum relay_verb order;
 	uint64_t order_term;
 	uint64_t order_sent_us;
@@ -188,6 +199,7 @@
 	bool to_primary; /* no replica may run it */
 	uint64_t arrived_us;
 	uint64_t deadline_us; /* the profile's timeout */
+	uint64_t due_us; /* its arrival and its profile's aim */
 	uint64_t give_up_us; /* it is refused unless a server was found */
 	uint64_t again_us; /* when paused */
 	uint64_t answered_us;
@@ -242,6 +254,7 @@
 	bool no_second_write_try; /* what may have run isn't sent again */
 	bool fresh_claim; /* no promotion with an old token */
 	bool avoid_outliers; /* servers that fail in part cost more */
+	bool limit_in_flight; /* what would queue at a server waits here */
 };
 
 struct relay {
@@ -405,6 +418,12 @@
 void rol_on_answer(struct routlier *o, enum relay_code code, uint64_t now_us);
 void rol_on_lost(struct routlier *o, uint64_t now_us);
 
+/* climit.c */
+bool rcl_is_full(const struct rserver *s);
+void rcl_on_sent(struct rserver *s);
+void rcl_on_answer(struct rserver *s, uint64_t took_us, uint64_t aim_us,
+		   enum relay_code code, uint64_t now_us);
+
 /* lead.c */
 bool rld_holds(const struct rservice *v, uint64_t at_us);
 void rld_on_status(struct rserver *s, uint64_t started_us, uint64_t now_us);
--- a/packages/relay/src/run.c
+++ b/packages/relay/src/run.c
@@ -214,14 +214,21 @@
 	rstep_next(pick.conn, now_us);
 }
 
-/* Behind those of the same and higher priority, by arrival. */
+static bool goes_before(const struct rrun *a, const struct rrun *b)
+{
+	if (a->priority != b->priority)
+		return a->priority < b->priority;
+	return a->due_us < b->due_us;
+}
+
+/* By priority, then by when it is due. */
 static void wait_turn(struct rsession *s)
 {
 	GQueue *waiting = &s->relay->waiting;
 	GList *before = waiting->tail;
 
-	while (before && ((struct rsession *)before->data)->run.priority >
-				 s->run.priority)
+	while (before &&
+	       goes_before(&s->run, &((struct rsession *)before->data)->run))
 		before = before->prev;
 	s->run.state = RRUN_WAITING;
 	if (before)
@@ -301,6 +308,7 @@
 			  (in_transaction(s) && !s->read_only);
 	run->priority = profile->priority;
 	run->deadline_us = now_us + profile->timeout_us;
+	run->due_us = now_us + profile->aim_us;
 	run->give_up_us = now_us + queue_timeout_us(profile, s->peer);
 	if (statement->wait_us)
 		run->give_up_us =
--- a/packages/relay/tests/support_group.c
+++ b/packages/relay/tests/support_group.c
@@ -255,6 +255,34 @@
 	hist_committed(f, number);
 }
 
+static uint64_t *earliest_slot(struct fake_server *s)
+{
+	uint64_t *best = s->free_us;
+	unsigned i;
+
+	for (i = 1; i < FAKE_SLOTS; i++)
+		if (s->free_us[i] < *best)
+			best = &s->free_us[i];
+	return best;
+}
+
+/* Whether all slots are taken for so long that the server sheds. */
+static bool sheds_load(const struct fake *f, struct fake_server *s)
+{
+	return s->work_us && *earliest_slot(s) > f->now_us + s->queue_us;
+}
+
+/* Takes a slot; how long until its work is done. */
+static uint64_t slot_us(const struct fake *f, struct fake_server *s)
+{
+	uint64_t *slot = earliest_slot(s);
+
+	if (!s->work_us)
+		return 0;
+	*slot = MAX(*slot, f->now_us) + s->work_us;
+	return *slot - f->now_us;
+}
+
 static enum relay_code refusal(struct fake *f, struct fake_conn *c,
 			       const struct hist_statement *h,
 			       const struct relay_statement *st)
@@ -266,7 +294,8 @@
 
 	s->n_ran++;
 	/* Without such a server the seeds draw what they always drew. */
-	if (fake_chance(f, f->busy) || (s->sheds && fake_chance(f, s->sheds)))
+	if (sheds_load(f, s) || fake_chance(f, f->busy) ||
+	    (s->sheds && fake_chance(f, s->sheds)))
 		return RELAY_BUSY;
 	if (s->role != ROLE_PRIMARY &&
 	    (h->writes || (plain && (st->verb != RELAY_COMMIT || c->wrote))))
@@ -309,6 +338,7 @@
 	struct fake_conn *c = g_hash_table_lookup(f->conns, &m->key);
 	struct message *out;
 	struct relay_answer a = { .text = STR("-") };
+	uint64_t work_us = 0;
 
 	if (!c || is_lost(f, c))
 		return;
@@ -323,6 +353,8 @@
 		run_begin(f, c, &m->st, &a);
 	else
 		run_own(c, &m->st, &a);
+	if (m->st.id.len && a.code == RELAY_OK)
+		work_us = slot_us(f, c->server);
 	out = g_new0(struct message, 1);
 	out->kind = M_ANSWER;
 	out->answer = a;
@@ -338,7 +370,8 @@
 			c->broken = true;
 		drop_later(f, c, 0);
 	}
-	tell(f, c, out, m->st.id.len ? fake_random(f, MS, 5 * MS) : 0);
+	tell(f, c, out,
+	     work_us + (m->st.id.len ? fake_random(f, MS, 5 * MS) : 0));
 }
 
 static void open_peer(struct fake *f, struct fake_conn *c)
--- a/packages/relay/tests/support_group.h
+++ b/packages/relay/tests/support_group.h
@@ -10,6 +10,7 @@
 #include "relay_internal.h"
 
 #define MS USEC_PER_MSEC
+#define FAKE_SLOTS 3
 #define MAX_RELAYS (MAX_SERVERS + 1)
 #define MAX_GROUPS 2
 #define GROUP_SIZE 3
@@ -43,6 +44,9 @@
 	uint64_t lag_us; /* of what it applies; it receives in half of that */
 	uint64_t down_us;
 	uint64_t slow_us; /* callers' statements wait this long in its queue */
+	uint64_t work_us; /* a caller's statement takes a slot so long */
+	uint64_t queue_us; /* what would wait longer for a slot is shed */
+	uint64_t free_us[FAKE_SLOTS]; /* when each slot is */
 	double sheds; /* share of callers' statements that it refuses */
 	double mutes; /* share of its answers to callers that never come */
 	unsigned n_ran; /* callers' statements that it was sent */
--- a/packages/relay/tests/support_history.c
+++ b/packages/relay/tests/support_history.c
@@ -284,7 +284,7 @@
 	s->now = NULL;
 	s->state = a->state;
 	h->answered = true;
-	h->code = a->code;
+	h->code = s->told = a->code;
 	f->n_codes[a->code]++;
 	g_snprintf(s->said, sizeof(s->said), "%.*s", (int)a->text.len,
 		   a->text.data);
--- a/packages/relay/tests/support_history.h
+++ b/packages/relay/tests/support_history.h
@@ -36,7 +36,8 @@
 	unsigned attempt;
 	uint64_t begun_us;
 	struct hist_statement *now; /* without an answer yet */
-	char said[64]; /* the text of the last answer */
+	enum relay_code told; /* by the last answer */
+	char said[64]; /* its text */
 	fake_fn next; /* runs after each answer, with this session */
 	unsigned left; /* for `next` */
 };
--- a/packages/relay/tests/support_platform.c
+++ b/packages/relay/tests/support_platform.c
@@ -283,7 +283,7 @@
 							 .zone = "a",
 							 .leaving = s->leaving,
 							 .role = s->role,
-							 .slots = 3 };
+							 .slots = FAKE_SLOTS };
 	}
 	relay_on_servers(r->relay, infos, n, f->now_us);
 	for (i = n = 0; i < f->n_relays; i++)
--- /dev/null
+++ b/packages/relay/tests/test_overload.c
@@ -0,0 +1,122 @@
+#include "support_history.h"
+
+#include <celeryquay/suite.h>
+
+#define RELAYS 4
+#define CALLERS 40
+#define CONNECTIONS 80 /* of the primary; more than queue up */
+#define WORK_US (30 * MS)
+#define QUEUE_US (300 * MS)
+#define LOAD_US (10 * USEC_PER_SEC)
+/* What the primary's slots can run in that time. */
+#define CAPACITY (FAKE_SLOTS * LOAD_US / WORK_US)
+
+static unsigned n_in_time;
+static uint64_t rest_us; /* of a caller between two statements */
+
+static void next_event(struct fake *f, void *data);
+
+static void rest(struct fake *f, void *data)
+{
+	struct hist_session *s = data;
+
+	if (s->told == RELAY_OK && f->now_us <= s->begun_us + FAKE_AIM_US)
+		n_in_time++;
+	fake_at(f, -1, fake_random(f, rest_us / 2, rest_us * 3 / 2), next_event,
+		s, NULL);
+}
+
+static void next_event(struct fake *f, void *data)
+{
+	struct hist_session *s = data;
+
+	hist_start(f, s, fake_chance(f, 0.4) ? RELAY_WRITE : RELAY_READ, "",
+		   "1");
+}
+
+static void set_up(struct relay *r, bool guard)
+{
+	struct rservice *v = g_hash_table_lookup(r->services, "group0");
+
+	v->max_connections = CONNECTIONS;
+	r->guards.limit_in_flight = guard;
+}
+
+static struct fake *start(uint32_t seed, bool guard)
+{
+	struct fake *f = fake_create(seed, RELAYS, 1);
+	unsigned i;
+
+	n_in_time = 0;
+	rest_us = 100 * MS;
+	fake_run(f, USEC_PER_SEC);
+	f->servers[0].work_us = WORK_US;
+	f->servers[0].queue_us = QUEUE_US;
+	f->max_connections = CONNECTIONS;
+	for (i = 0; i < RELAYS; i++)
+		set_up(f->relays[i].relay, guard);
+	for (i = 0; i < CALLERS; i++) {
+		struct hist_session *s =
+			hist_open(f, i % RELAYS, 0, RELAY_KIND_PRIMARY);
+
+		s->next = rest;
+		next_event(f, s);
+	}
+	return f;
+}
+
+static void end(struct fake *f)
+{
+	ck_assert_str_eq(hist_check(f), "");
+	fake_destroy(f);
+}
+
+static unsigned in_time_under_load(uint32_t seed, bool guard)
+{
+	struct fake *f = start(seed, guard);
+
+	fake_run(f, LOAD_US);
+	end(f);
+	return n_in_time;
+}
+
+/*
+ * All replicas are behind, and plumbers, members and advisers ask for twice
+ * what the primary alone can run. Everybody waited in its queue for as long as
+ * an answer may take, so that hardly anybody was served in time.
+ */
+START_TEST(test_an_overloaded_primary_serves_what_it_can)
+{
+	unsigned with = in_time_under_load((uint32_t)_i, true);
+	unsigned without = in_time_under_load((uint32_t)_i, false);
+
+	ck_assert_uint_gt(with, CAPACITY * 3 / 4);
+	ck_assert_uint_lt(without, with / 2);
+}
+END_TEST
+
+/* The load is over: nobody is refused for what was before. */
+START_TEST(test_a_limit_goes_when_the_load_does)
+{
+	struct fake *f = start((uint32_t)_i, true);
+	unsigned before;
+
+	fake_run(f, LOAD_US);
+	rest_us = 2 * USEC_PER_SEC;
+	fake_run(f, 5 * USEC_PER_SEC);
+	before = f->n_codes[RELAY_BUSY];
+	fake_run(f, LOAD_US);
+	ck_assert_uint_eq(f->n_codes[RELAY_BUSY], before);
+	end(f);
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tc = tcase_create("overload");
+
+	tcase_add_loop_test(tc, test_an_overloaded_primary_serves_what_it_can,
+			    0, 5);
+	tcase_add_loop_test(tc, test_a_limit_goes_when_the_load_does, 0, 5);
+	return suite_main("overload", tc);
+}
