--- a/packages/harness/src/child.c
+++ b/packages/harness/src/child.c
@@ -155,14 +155,13 @@
 	return ok;
 }
 
-/* Starts a program and waits for its ready line; SYSTEM if none comes. */
-struct child *child_start(const char *program, const char *const *args,
-			  struct err *err)
+static struct child *start(const char *program, const char *const *args,
+			   bool wait, struct err *err)
 {
 	struct child *c = g_new0(struct child, 1);
 
 	c->program = g_strdup(program);
-	if (spawn(c, program, args) && read_ready(c)) {
+	if (spawn(c, program, args) && (!wait || read_ready(c))) {
 		c->log = open_log(program, c->pid);
 		c->reader = g_thread_new("child-log", copy_log, c);
 		return c;
@@ -172,6 +171,20 @@
 	return NULL;
 }
 
+/* Starts a program and waits for its ready line; SYSTEM if none comes. */
+struct child *child_start(const char *program, const char *const *args,
+			  struct err *err)
+{
+	return start(program, args, true, err);
+}
+
+/* The same for one that prints no ready line. */
+struct child *child_launch(const char *program, const char *const *args,
+			   struct err *err)
+{
+	return start(program, args, false, err);
+}
+
 /* Sends a signal, unless the process ended. */
 void child_signal(const struct child *c, int number)
 {
--- a/packages/harness/src/child.h
+++ b/packages/harness/src/child.h
@@ -17,6 +17,8 @@
 /* program: a name in the folder of $CQ_BIN. args: NULL-ended, without it. */
 struct child *child_start(const char *program, const char *const *args,
 			  struct err *err);
+struct child *child_launch(const char *program, const char *const *args,
+			   struct err *err);
 /* Ends it by SIGTERM, by SIGKILL when it takes too long; frees. */
 void child_destroy(struct child *c);
 void child_signal(const struct child *c, int number);
