relay: a pause is ended under the duty alone

The store had answered one proxy alone, which fenced and called for a promotion while the old primary was down. 280 ms later, 25 ms before the promotion took effect, the old primary came back. Another proxy, which the store had not answered yet, saw it lead and a replica paused, resumed the replica (tidy), and the replica confirmed the old primary.

Ruled out: the fence (both replicas were paused), the wait after it, and what replicas apply as evidence (the replica was resumed; no lines of the others' statements say otherwise).

Change: a pause is ended only by a proxy that claims the duty for it, when the pause is older than a change can last after its last claim, 5 s; one's own pause, if the platform was told nothing, without that wait. The claim fails where the proxy doesn't know of another's, and makes the other's next claim fail.

Test: test_a_deaf_proxy_ends_no_pause, 40 seeds; with the guard off some of them show the fault.

--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,8 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: all build deps run test check sanitize fuzz lint format bench plots \
-	install clean
+.PHONY: all build deps run test check sanitize fuzz soak lint format bench \
+	plots install clean
 
 all: build
 
@@ -34,6 +34,12 @@
 fuzz: deps
 	@.ci/fuzz $(BUILD)-fuzz
 
+# The fault soak: make soak SEEDS=1-50 SOAK="--jobs=4 --plan"
+SEEDS ?= 1-10
+soak: build
+	@CQ_BIN=$(abspath $(BUILD))/bin $(BUILD)/bin/celeryquay-soak \
+		--seeds=$(SEEDS) $(SOAK)
+
 lint: build
 	@.ci/lint $(BUILD)
 
--- a/packages/relay/src/change.c
+++ b/packages/relay/src/change.c
@@ -30,6 +30,11 @@
 #define PROMOTE_LIMIT_US (1500 * USEC_PER_MSEC)
 #define SETTLE_LIMIT_US (3 * USEC_PER_SEC)
 #define PROMOTE_TRIES 3
+/*
+ * A claim serves for 1.5 s, the platform may take PROMOTE_LIMIT_US to be told
+ * and a second to carry it out; and a second more.
+ */
+#define RESUME_AFTER_US (5 * USEC_PER_SEC)
 
 /* Whether this proxy is replacing the service's primary. */
 bool rch_is_running(const struct rservice *v)
@@ -277,6 +282,7 @@
 	v->tries = 0;
 	v->fence_term = fence_term(v);
 	v->fenced_us = 0;
+	v->told = false;
 	enter(v, PHASE_FENCE, now_us);
 }
 
@@ -408,6 +414,7 @@
 		return;
 	}
 	v->target = best;
+	v->told = true;
 	counter_add(r->n_promotions, 1);
 	enter(v, PHASE_PROMOTE, now_us);
 	r->ops->promote(r->ctx, v->name, v->target->info.id, r->token);
@@ -446,6 +453,47 @@
 		give_up(v, "the target does not lead", now_us);
 }
 
+/* Whether the pause is this proxy's own, and the platform was told nothing. */
+static bool is_own_pause(const struct rservice *v, const struct rserver *s)
+{
+	return s->status.held == v->fence_term && !v->told &&
+	       !g_strcmp0(v->relay->duty_holder, v->relay->name);
+}
+
+/*
+ * Whether a replica that another change left paused may receive again.
+ *
+ * Failure: a change runs elsewhere, and this proxy, which the store has not
+ * answered since, knows nothing of it. The old primary comes back a moment
+ * before the promotion takes effect, a replica is resumed here and confirms
+ * it, and what it stores is told as stored and gone. Guard: the pause must be
+ * older than a change can last after its claim, and this proxy must have the
+ * duty itself: it claims it, which fails when another has claimed since, and
+ * which makes the next claim of that other fail.
+ */
+static bool may_resume(struct rservice *v, struct rserver *s, uint64_t now_us)
+{
+	struct relay *r = v->relay;
+
+	if (!r->guards.resume_under_duty)
+		return !others_duty(r, now_us);
+	if (s->held_seen != s->status.held) {
+		s->held_seen = s->status.held;
+		s->held_seen_us = now_us;
+	}
+	if (others_duty(r, now_us) || !r->duty_known || r->stopping ||
+	    (!is_own_pause(v, s) && now_us < s->held_seen_us + RESUME_AFTER_US))
+		return false;
+	if (claim_is_fresh(r, now_us))
+		return true;
+	if (!r->claiming && now_us > r->claim_sent_us + BACKOFF_US) {
+		r->claiming = true;
+		r->claim_sent_us = now_us;
+		r->ops->claim(r->ctx, r->duty_revision);
+	}
+	return false;
+}
+
 /* What was paused receives again, and an older primary follows. */
 static void tidy(struct rservice *v, uint64_t now_us)
 {
@@ -460,8 +508,7 @@
 			continue;
 		if (s->status.role == ROLE_PRIMARY && s->status.term < v->term)
 			order_again(s, RELAY_STEP_DOWN, v->term, now_us);
-		else if (s->status.held > v->term &&
-			 !others_duty(v->relay, now_us))
+		else if (s->status.held > v->term && may_resume(v, s, now_us))
 			order_again(s, RELAY_RESUME, 0, now_us);
 	}
 }
--- a/packages/relay/src/relay_internal.h
+++ b/packages/relay/src/relay_internal.h
@@ -81,6 +81,8 @@
 	bool refused; /* nothing listens there */
 	bool probe_now;
 	bool order_wanted; /* in place of the next status */
+	uint64_t held_seen; /* this pause, see change.c */
+	uint64_t held_seen_us; /* was first seen then */
 	uint64_t unlisted_us; /* left the list then */
 	uint64_t leaving_us; /* was first seen leaving then */
 
@@ -137,6 +139,7 @@
 	bool alive_elsewhere; /* others reach a primary that fails here */
 	bool act_armed;
 	bool stepped_down; /* the old primary said so */
+	bool told; /* the platform was, in this fence */
 	unsigned n_samples;
 	GPtrArray *homes; /* names of the other homes */
 	unsigned homes_changed; /* how often; peers: when they were listed */
@@ -253,6 +256,7 @@
 	bool clean_values; /* no value goes to the next session */
 	bool no_second_write_try; /* what may have run isn't sent again */
 	bool fresh_claim; /* no promotion with an old token */
+	bool resume_under_duty; /* no pause of a running change is ended */
 	bool avoid_outliers; /* servers that fail in part cost more */
 	bool limit_in_flight; /* what would queue at a server waits here */
 };
--- a/packages/relay/tests/support_group.h
+++ b/packages/relay/tests/support_group.h
@@ -27,6 +27,7 @@
 	uint64_t frozen_until_us;
 	bool dead;
 	bool unlisted;
+	bool deaf; /* towards the store: it hears of no claim, and has none */
 };
 
 struct fake_server {
--- a/packages/relay/tests/support_platform.c
+++ b/packages/relay/tests/support_platform.c
@@ -206,6 +206,8 @@
 {
 	const struct call *call = data;
 
+	if (f->relays[call->relay].deaf)
+		return;
 	relay_on_duty(f->relays[call->relay].relay, f->duty_revision,
 		      f->duty_holder, f->now_us);
 }
@@ -254,6 +256,11 @@
 	uint64_t delay_us = 2 * MS;
 
 	call.outcome = RELAY_CLAIM_UNKNOWN;
+	if (r->deaf) {
+		fake_at(f, (int)r->index, CALL_LIMIT_US, claimed_event,
+			g_memdup2(&call, sizeof(call)), g_free);
+		return;
+	}
 	call.accepted = !fake_chance(f, f->lose_claims);
 	if (!call.accepted) {
 		fake_at(f, (int)r->index, CALL_LIMIT_US, claimed_event,
--- a/packages/relay/tests/test_change.c
+++ b/packages/relay/tests/test_change.c
@@ -120,6 +120,59 @@
 }
 END_TEST
 
+/* What is wrong when one proxy of three hears nothing of a change. */
+static char *history_of_a_deaf_relay(uint32_t seed, bool guard)
+{
+	struct fake *f = start(seed);
+	unsigned i;
+	char *wrong;
+
+	for (i = 0; i < f->n_relays; i++)
+		f->relays[i].relay->guards.resume_under_duty = guard;
+	f->relays[0].deaf = true;
+	fake_crash(f, 0);
+	while (!f->last_token)
+		fake_run(f, MS);
+	fake_run(f, f->promote_us - (seed % 8) * 40 * MS);
+	fake_restart(f, 0);
+	fake_run(f, USEC_PER_SEC);
+	f->relays[0].deaf = false;
+	fake_heal(f);
+	fake_run(f, 8 * USEC_PER_SEC);
+	wrong = g_strdup(hist_check(f));
+	fake_destroy(f);
+	return wrong;
+}
+
+/*
+ * The store's answers reach all proxies but one when a primary has crashed.
+ * That one sees the old primary come back and a replica paused, which it
+ * resumed; the replica confirmed the old primary, and an installer's code that
+ * was stored there was gone with the promotion a moment later.
+ */
+START_TEST(test_a_deaf_proxy_ends_no_pause)
+{
+	char *wrong = history_of_a_deaf_relay((uint32_t)_i, true);
+
+	ck_assert_str_eq(wrong, "");
+	g_free(wrong);
+}
+END_TEST
+
+START_TEST(test_ended_pauses_are_noticed)
+{
+	unsigned i, n = 0;
+
+	for (i = 0; i < 40; i++) {
+		char *wrong = history_of_a_deaf_relay(i, false);
+
+		n += *wrong != 0;
+		g_free(wrong);
+	}
+	ck_assert_uint_gt(n, 0);
+}
+END_TEST
+
 /*
  * The platform's word on a promotion is lost, after it was carried out. The
  * proxy asked for one more, of another server, and took the lead from the new
@@ -293,6 +346,8 @@
 	TCase *tc = tcase_create("change");
 
 	tcase_add_loop_test(tc, test_dead_primary_is_replaced, 0, 2);
+	tcase_add_loop_test(tc, test_a_deaf_proxy_ends_no_pause, 0, 40);
+	tcase_add_test(tc, test_ended_pauses_are_noticed);
 	tcase_add_test(tc, test_short_cut_of_one_relay_changes_nothing);
 	tcase_add_loop_test(tc, test_old_primary_is_not_believed, 0, 5);
 	tcase_add_loop_test(tc, test_second_change_fences_too, 0, 5);
