tests: the call of libcurl that stayed behind was the test's own

Cause, from LeakSanitizer's stack: ready_destroy() turns the loop; the test had ended the HTTP client, and the second proxy's follower, which was still alive, started its next call on it. Ruled out for the product: platform_destroy() ends the follower, by closing its timers, before it turns the loop.

--- a/packages/transport/tests/test_kv_feed.c
+++ b/packages/transport/tests/test_kv_feed.c
@@ -342,7 +342,6 @@
 {
 	struct ready_wait *wait;
 
-	kv_follow_destroy(p->follow);
 	kv_feed_destroy(p->feed);
 	while ((wait = g_queue_pop_head(&p->muted)))
 		ready_answer(wait, 503, STR(""));
@@ -354,6 +353,9 @@
 static void end(void)
 {
 	http_destroy(rig.http);
+	/* A port that ends turns the loop: no follower may call by then. */
+	kv_follow_destroy(rig.follower.follow);
+	kv_follow_destroy(rig.watcher.follow);
 	end_proxy(&rig.follower);
 	end_proxy(&rig.watcher);
 	ready_destroy(rig.port);
@@ -471,6 +473,18 @@
 }
 END_TEST
 
+/*
+ * A proxy ends right after an empty answer, with its next call due. The call
+ * was started while its client was being ended, and stayed behind.
+ */
+START_TEST(an_end_between_two_calls_leaves_none)
+{
+	start();
+	loop_until(&rig.loop, fed_often, NULL);
+	end();
+}
+END_TEST
+
 /*
  * The watcher stands still. Those that ask it must not go on by the old
  * configuration: they ask the store.
@@ -572,6 +586,7 @@
 	tcase_add_test(tc, a_large_value_comes_from_the_store);
 	tcase_add_test(tc, a_large_value_is_asked_for_until_it_comes);
 	tcase_add_test(tc, the_store_is_not_asked);
+	tcase_add_test(tc, an_end_between_two_calls_leaves_none);
 	tcase_add_test(tc, a_silent_watcher_is_left_for_the_store);
 	tcase_add_test(tc, answers_say_how_old_they_are);
 	tcase_add_test(tc, a_watcher_that_started_anew);
