cli: `celeryquay causes` counts why statements were refused

Which of twenty refusals to look at first could only be guessed: explain tells of one id. The table joins what a caller was told with the line of the home that refused it.

--- /dev/null
+++ b/packages/cli/src/causes.c
@@ -0,0 +1,339 @@
+#define _GNU_SOURCE
+#include "causes.h"
+
+#include "log_lines.h"
+
+#include <string.h>
+
+/* Statements that wait for the line of the home that refused them: 64 MB. */
+#define PENDING_MAX 500000
+
+enum cause {
+	CAUSE_NO_PRIMARY,
+	CAUSE_BEING_REPLACED,
+	CAUSE_NOT_CONFIRMED,
+	CAUSE_DOWN,
+	CAUSE_LAGGING_OVERLOAD,
+	CAUSE_OVERLOAD,
+	CAUSE_CONNECTIONS,
+	CAUSE_OPENING,
+	CAUSE_LAGGING,
+	CAUSE_NO_HOME,
+	CAUSE_LOST,
+	CAUSE_ANSWER_LOST,
+	CAUSE_SERVER_BUSY,
+	CAUSE_CALLER,
+	CAUSE_HOME_UNKNOWN,
+	CAUSE_OTHER,
+	CAUSES,
+};
+
+static const struct {
+	const char *name;
+	const char *meaning;
+} infos[CAUSES] = {
+	[CAUSE_NO_PRIMARY] = { "no-primary", "no server leads" },
+	[CAUSE_BEING_REPLACED] = { "being-replaced",
+				   "a change of primary runs" },
+	[CAUSE_NOT_CONFIRMED] = { "primary-not-confirmed",
+				  "no replica confirmed the primary" },
+	[CAUSE_DOWN] = { "servers-down", "the servers that may do not answer" },
+	[CAUSE_LAGGING_OVERLOAD] = { "replicas-behind",
+				     "replicas lag, the primary is at its "
+				     "limit" },
+	[CAUSE_OVERLOAD] = { "servers-at-limit",
+			     "as many in flight as are answered in time" },
+	[CAUSE_CONNECTIONS] = { "connections-used-up",
+				"no connection to the servers that may" },
+	[CAUSE_OPENING] = { "connection-awaited",
+			    "others came first, or one was being opened" },
+	[CAUSE_LAGGING] = { "too-fresh", "servers lack what must be seen" },
+	[CAUSE_NO_HOME] = { "no-home", "no home of the database is reached" },
+	[CAUSE_LOST] = { "server-lost",
+			 "a transaction's server or connection was lost" },
+	[CAUSE_ANSWER_LOST] = { "answer-lost",
+				"it was sent, and no answer came" },
+	[CAUSE_SERVER_BUSY] = { "server-refused", "servers took it and shed" },
+	[CAUSE_CALLER] = { "caller", "the statement or database is wrong" },
+	[CAUSE_HOME_UNKNOWN] = { "home-refused",
+				 "a home refused; its line is not there" },
+	[CAUSE_OTHER] = { "other", "none of these" },
+};
+
+struct tally {
+	unsigned n;
+	GHashTable *services; /* name -> count */
+};
+
+struct causes {
+	struct tally tallies[CAUSES];
+	GHashTable *at_homes; /* id -> cause, from homes' lines */
+	GHashTable *pending; /* id -> service, of those that homes refused */
+	unsigned n_left_out;
+	unsigned n;
+};
+
+struct causes *causes_create(void)
+{
+	struct causes *c = g_new0(struct causes, 1);
+	unsigned i;
+
+	for (i = 0; i < CAUSES; i++)
+		c->tallies[i].services = g_hash_table_new_full(
+			g_str_hash, g_str_equal, g_free, NULL);
+	c->at_homes =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	c->pending =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	return c;
+}
+
+/* NULL is ignored. */
+void causes_destroy(struct causes *c)
+{
+	unsigned i;
+
+	if (!c)
+		return;
+	for (i = 0; i < CAUSES; i++)
+		g_hash_table_destroy(c->tallies[i].services);
+	g_hash_table_destroy(c->at_homes);
+	g_hash_table_destroy(c->pending);
+	g_free(c);
+}
+
+static void count(struct causes *c, enum cause cause, const char *service)
+{
+	struct tally *t = &c->tallies[cause];
+	unsigned n =
+		GPOINTER_TO_UINT(g_hash_table_lookup(t->services, service));
+
+	c->n++;
+	t->n++;
+	g_hash_table_replace(t->services, g_strdup(service),
+			     GUINT_TO_POINTER(n + 1));
+}
+
+/* How many rows of the list were passed over for that, "" for nothing. */
+static unsigned passed_over(JsonArray *rows, const char *why)
+{
+	unsigned i, n = 0;
+
+	for (i = 0; i < json_array_get_length(rows); i++) {
+		JsonObject *row = json_array_get_object_element(rows, i);
+
+		n += !strcmp(log_lines_text(row, "passed_over"), why);
+	}
+	return n;
+}
+
+static JsonArray *list_of(JsonObject *line, const char *key)
+{
+	JsonNode *node = json_object_get_member(line, key);
+
+	return node && JSON_NODE_HOLDS_ARRAY(node) ? json_node_get_array(node) :
+						     NULL;
+}
+
+static enum cause cause_of_homes(JsonArray *homes)
+{
+	if (!passed_over(homes, ""))
+		return CAUSE_NO_HOME;
+	return CAUSE_OPENING;
+}
+
+/* What stood in the way at the servers, the most telling first. */
+static enum cause cause_of_servers(JsonObject *line, JsonArray *servers)
+{
+	bool lagging = passed_over(servers, "lagging") ||
+		       passed_over(servers, "no-known-position");
+
+	if (passed_over(servers, "being-replaced"))
+		return CAUSE_BEING_REPLACED;
+	if (passed_over(servers, ""))
+		return CAUSE_OPENING;
+	if (passed_over(servers, "at-limit"))
+		return lagging ? CAUSE_LAGGING_OVERLOAD : CAUSE_OVERLOAD;
+	if (passed_over(servers, "no-connection"))
+		return CAUSE_CONNECTIONS;
+	if (passed_over(servers, "lease-over"))
+		return CAUSE_NOT_CONFIRMED;
+	if (passed_over(servers, "down"))
+		return CAUSE_DOWN;
+	if (json_object_has_member(line, "primary") &&
+	    !*log_lines_text(json_object_get_object_member(line, "primary"),
+			     "server"))
+		return CAUSE_NO_PRIMARY;
+	return lagging ? CAUSE_LAGGING : CAUSE_OTHER;
+}
+
+static enum cause cause_of(JsonObject *line)
+{
+	const char *code = log_lines_text(line, "code");
+	JsonArray *servers = list_of(line, "servers");
+	JsonArray *homes = list_of(line, "homes");
+
+	if (!strcmp(code, "IN_DOUBT") || !strcmp(code, "TIMED_OUT"))
+		return CAUSE_ANSWER_LOST;
+	if (!strcmp(code, "ABORTED"))
+		return CAUSE_LOST;
+	if (!strcmp(code, "NO_DATABASE") || !strcmp(code, "MALFORMED") ||
+	    !strcmp(code, "NO_STATEMENT"))
+		return CAUSE_CALLER;
+	if (!strcmp(code, "LAGGING"))
+		return CAUSE_LAGGING;
+	if (!strcmp(code, "FAILED"))
+		return CAUSE_SERVER_BUSY;
+	if (servers)
+		return cause_of_servers(line, servers);
+	return homes ? cause_of_homes(homes) : CAUSE_OTHER;
+}
+
+/* Whether a home said no: its own line, in its own log, says why. */
+static bool is_from_home(JsonObject *line)
+{
+	JsonArray *homes = list_of(line, "homes");
+
+	return homes && !list_of(line, "servers") &&
+	       g_str_has_prefix(log_lines_text(line, "why"), "the home");
+}
+
+static void take_refused(struct causes *c, JsonObject *line)
+{
+	const char *id = log_lines_text(line, "id");
+	const char *service = log_lines_text(line, "service");
+
+	if (g_hash_table_size(c->pending) + g_hash_table_size(c->at_homes) >=
+	    PENDING_MAX) {
+		c->n_left_out++;
+		return;
+	}
+	if (log_lines_bool(line, "from_proxy"))
+		g_hash_table_replace(c->at_homes, g_strdup(id),
+				     GUINT_TO_POINTER(cause_of(line) + 1));
+	else if (is_from_home(line))
+		g_hash_table_replace(c->pending, g_strdup(id),
+				     g_strdup(service));
+	else
+		count(c, cause_of(line), service);
+}
+
+static bool take_line(void *ctx, const char *text, size_t len)
+{
+	static const char event[] = "\"event\":\"statement\"";
+	struct causes *c = ctx;
+	JsonParser *parser;
+	JsonObject *line;
+
+	if (!memmem(text, len, event, sizeof(event) - 1))
+		return true;
+	parser = json_parser_new_immutable();
+	line = log_lines_parse(parser, text, len);
+	if (line && strcmp(log_lines_text(line, "code"), "OK") != 0)
+		take_refused(c, line);
+	g_object_unref(parser);
+	return line;
+}
+
+void causes_read(struct causes *c, const char *name, FILE *log, struct err *err)
+{
+	log_lines_read(name, log, take_line, c, err);
+}
+
+/* Joins what homes refused with what they say of it. */
+static void settle(struct causes *c)
+{
+	GHashTableIter iter;
+	gpointer id, service;
+
+	g_hash_table_iter_init(&iter, c->pending);
+	while (g_hash_table_iter_next(&iter, &id, &service)) {
+		unsigned at =
+			GPOINTER_TO_UINT(g_hash_table_lookup(c->at_homes, id));
+
+		count(c, at ? (enum cause)(at - 1) : CAUSE_HOME_UNKNOWN,
+		      service);
+		g_hash_table_iter_remove(&iter);
+	}
+}
+
+static void sort(const struct causes *c, enum cause order[CAUSES])
+{
+	unsigned i, j;
+
+	for (i = 0; i < CAUSES; i++) {
+		for (j = i; j && c->tallies[order[j - 1]].n < c->tallies[i].n;
+		     j--)
+			order[j] = order[j - 1];
+		order[j] = (enum cause)i;
+	}
+}
+
+/* The service with the most of them. */
+static const char *worst_service(const struct tally *t, unsigned *n)
+{
+	const char *worst = "";
+	GHashTableIter iter;
+	gpointer name, value;
+
+	*n = 0;
+	g_hash_table_iter_init(&iter, t->services);
+	while (g_hash_table_iter_next(&iter, &name, &value)) {
+		unsigned m = GPOINTER_TO_UINT(value);
+
+		if (m > *n || (m == *n && strcmp(name, worst) < 0)) {
+			worst = name;
+			*n = m;
+		}
+	}
+	return worst;
+}
+
+void causes_write_text(struct causes *c, GString *out)
+{
+	enum cause order[CAUSES];
+	unsigned i, n;
+
+	settle(c);
+	sort(c, order);
+	g_string_append_printf(out, "%u statements refused or failed\n", c->n);
+	for (i = 0; i < CAUSES; i++) {
+		const struct tally *t = &c->tallies[order[i]];
+		const char *service;
+
+		if (!t->n)
+			break;
+		service = worst_service(t, &n);
+		g_string_append_printf(
+			out, "%8u  %5.1f %%  %-22s %s; most at %s: %u\n", t->n,
+			100.0 * t->n / c->n, infos[order[i]].name,
+			infos[order[i]].meaning, *service ? service : "-", n);
+	}
+	if (c->n_left_out)
+		g_string_append_printf(out, "%u more were left out\n",
+				       c->n_left_out);
+}
+
+void causes_write_json(struct causes *c, GString *out)
+{
+	enum cause order[CAUSES];
+	unsigned i, n;
+
+	settle(c);
+	sort(c, order);
+	g_string_append_printf(out,
+			       "{\"statements\":%u,\"left_out\":%u,"
+			       "\"causes\":[",
+			       c->n, c->n_left_out);
+	for (i = 0; i < CAUSES && c->tallies[order[i]].n; i++) {
+		const struct tally *t = &c->tallies[order[i]];
+		const char *service = worst_service(t, &n);
+
+		g_string_append_printf(out,
+				       "%s{\"cause\":\"%s\",\"statements\":%u,"
+				       "\"service\":\"%s\",\"of_it\":%u}",
+				       i ? "," : "", infos[order[i]].name, t->n,
+				       service, n);
+	}
+	g_string_append(out, "]}\n");
+}
--- a/packages/cli/src/cli.h
+++ b/packages/cli/src/cli.h
@@ -58,6 +58,7 @@
 enum cli_exit cli_peer_key_new(struct cli *cli, char **args);
 enum cli_exit cli_settings_check(struct cli *cli, char **args);
 enum cli_exit cli_explain(struct cli *cli, char **args);
+enum cli_exit cli_causes(struct cli *cli, char **args);
 
 /* kind: "profile", "database", ... */
 enum cli_exit cli_item_list(struct cli *cli, const char *kind, char **args);
--- a/packages/cli/src/cli_explain.c
+++ b/packages/cli/src/cli_explain.c
@@ -1,3 +1,4 @@
+#include "causes.h"
 #include "cli.h"
 #include "explain.h"
 
@@ -5,8 +6,23 @@
 #include <stdio.h>
 #include <string.h>
 
+typedef void (*read_fn)(void *reader, const char *name, FILE *log,
+			struct err *err);
+
+static void read_explain(void *reader, const char *name, FILE *log,
+			 struct err *err)
+{
+	explain_read(reader, name, log, err);
+}
+
+static void read_causes(void *reader, const char *name, FILE *log,
+			struct err *err)
+{
+	causes_read(reader, name, log, err);
+}
+
 /* Reads one log; "-" is standard input. What is wrong with it is printed. */
-static enum cli_exit read_log(struct explain *e, const char *name)
+static enum cli_exit read_log(read_fn read, void *reader, const char *name)
 {
 	bool is_input = !strcmp(name, "-");
 	FILE *log = is_input ? stdin : fopen(name, "r");
@@ -15,7 +31,7 @@
 	if (!log)
 		err_set(&err, ERR_BAD_LOG, "%s: %s", name, g_strerror(errno));
 	else
-		explain_read(e, name, log, &err);
+		read(reader, name, log, &err);
 	if (log && !is_input)
 		fclose(log);
 	if (!err.code)
@@ -35,7 +51,7 @@
 	unsigned i;
 
 	for (i = 1; args[i]; i++) {
-		if (read_log(e, args[i]) != CLI_OK)
+		if (read_log(read_explain, e, args[i]) != CLI_OK)
 			code = CLI_FAILED;
 	}
 	if (!explain_found(e)) {
@@ -54,3 +70,25 @@
 	explain_destroy(e);
 	return code;
 }
+
+/* causes FILE...: why statements were refused or failed, counted. */
+enum cli_exit cli_causes(struct cli *cli, char **args)
+{
+	struct causes *c = causes_create();
+	GString *out = g_string_new(NULL);
+	enum cli_exit code = CLI_OK;
+	unsigned i;
+
+	for (i = 0; args[i]; i++) {
+		if (read_log(read_causes, c, args[i]) != CLI_OK)
+			code = CLI_FAILED;
+	}
+	if (cli->json)
+		causes_write_json(c, out);
+	else
+		causes_write_text(c, out);
+	fputs(out->str, stdout);
+	g_string_free(out, TRUE);
+	causes_destroy(c);
+	return code;
+}
--- a/packages/cli/src/explain.c
+++ b/packages/cli/src/explain.c
@@ -1,12 +1,12 @@
 #define _GNU_SOURCE
 #include "explain.h"
 
+#include "log_lines.h"
+
 #include <celeryquay/relay/statement.h>
 
 #include <string.h>
 
-#define LINE_MAX_BYTES ((size_t)1024 * 1024)
-#define READ_BYTES ((size_t)65536)
 /* Of 1,400 proxies, some 15 things each; a few MB. */
 #define BELIEFS_MAX 20000
 /* A statement has one line for each try at each of two proxies. */
@@ -100,27 +100,9 @@
 	return e->matches->len;
 }
 
-static const char *text_of(JsonObject *line, const char *key)
-{
-	JsonNode *node = json_object_get_member(line, key);
-
-	return node && JSON_NODE_HOLDS_VALUE(node) &&
-			       json_node_get_value_type(node) == G_TYPE_STRING ?
-		       json_node_get_string(node) :
-		       "";
-}
-
-static int64_t number_of(JsonObject *line, const char *key)
-{
-	JsonNode *node = json_object_get_member(line, key);
-
-	return node && JSON_NODE_HOLDS_VALUE(node) ? json_node_get_int(node) :
-						     0;
-}
-
 static const struct belief_kind *belief_kind_of(JsonObject *line)
 {
-	const char *event = text_of(line, "event");
+	const char *event = log_lines_text(line, "event");
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(belief_kinds); i++)
@@ -132,7 +114,8 @@
 static gboolean is_of_node(gpointer key, gpointer value, gpointer node)
 {
 	(void)key;
-	return !strcmp(text_of(json_node_get_object(value), "node"), node);
+	return !strcmp(log_lines_text(json_node_get_object(value), "node"),
+		       node);
 }
 
 static void take_belief(struct explain *e, JsonNode *node)
@@ -144,12 +127,13 @@
 	if (!kind)
 		return;
 	/* A process that starts knows nothing of what it was before. */
-	if (!strcmp(text_of(line, "event"), "started"))
+	if (!strcmp(log_lines_text(line, "event"), "started"))
 		g_hash_table_foreach_remove(e->beliefs, is_of_node,
-					    (gpointer)text_of(line, "node"));
-	key = g_strjoin("\n", text_of(line, "node"), kind->subject,
-			kind->key ? text_of(line, kind->key) : "",
-			text_of(line, "database"), NULL);
+					    (gpointer)log_lines_text(line,
+								     "node"));
+	key = g_strjoin("\n", log_lines_text(line, "node"), kind->subject,
+			kind->key ? log_lines_text(line, kind->key) : "",
+			log_lines_text(line, "database"), NULL);
 	if (g_hash_table_size(e->beliefs) < BELIEFS_MAX ||
 	    g_hash_table_contains(e->beliefs, key))
 		g_hash_table_replace(e->beliefs, key, json_node_ref(node));
@@ -160,15 +144,16 @@
 static bool is_same_or_none(JsonObject *belief, JsonObject *line,
 			    const char *key)
 {
-	const char *of = text_of(belief, key);
+	const char *of = log_lines_text(belief, key);
 
-	return !*of || !strcmp(of, text_of(line, key));
+	return !*of || !strcmp(of, log_lines_text(line, key));
 }
 
 /* What concerns another service or database is left out. */
 static bool concerns(JsonObject *belief, JsonObject *line)
 {
-	return !strcmp(text_of(belief, "node"), text_of(line, "node")) &&
+	return !strcmp(log_lines_text(belief, "node"),
+		       log_lines_text(line, "node")) &&
 	       is_same_or_none(belief, line, "service") &&
 	       is_same_or_none(belief, line, "database");
 }
@@ -177,10 +162,12 @@
 {
 	JsonObject *x = json_node_get_object(*(JsonNode *const *)a);
 	JsonObject *y = json_node_get_object(*(JsonNode *const *)b);
-	int64_t p = number_of(x, "steady_ms"), q = number_of(y, "steady_ms");
+	int64_t p = log_lines_number(x, "steady_ms"),
+		q = log_lines_number(y, "steady_ms");
 
 	return p != q ? (p > q) - (p < q) :
-			strcmp(text_of(x, "event"), text_of(y, "event"));
+			strcmp(log_lines_text(x, "event"),
+			       log_lines_text(y, "event"));
 }
 
 static void take_match(struct explain *e, JsonNode *node)
@@ -227,103 +214,38 @@
 	return false;
 }
 
-/* False when it is no JSON object; what a collector put before is ignored. */
-static bool take_line(struct explain *e, const char *text, size_t len)
+static bool take_line(void *ctx, const char *text, size_t len)
 {
-	const char *begin = memchr(text, '{', len);
+	struct explain *e = ctx;
 	JsonParser *parser;
-	JsonNode *root;
-	bool ok;
+	JsonObject *line;
 
-	if (!begin || text[len - 1] != '}')
-		return false;
-	len -= (size_t)(begin - text);
-	if (!may_matter(e, begin, len))
+	if (!may_matter(e, text, len))
 		return true;
 	parser = json_parser_new_immutable();
-	ok = json_parser_load_from_data(parser, begin, (gssize)len, NULL);
-	root = ok ? json_parser_get_root(parser) : NULL;
-	ok = root && JSON_NODE_HOLDS_OBJECT(root);
-	if (ok) {
-		take_belief(e, root);
-		if (!strcmp(text_of(json_node_get_object(root), "id"), e->id))
-			take_match(e, root);
+	line = log_lines_parse(parser, text, len);
+	if (line) {
+		take_belief(e, json_parser_get_root(parser));
+		if (!strcmp(log_lines_text(line, "id"), e->id))
+			take_match(e, json_parser_get_root(parser));
 	}
 	g_object_unref(parser);
-	return ok;
-}
-
-/* Where a log is being read. */
-struct reader {
-	const char *name;
-	uint64_t line;
-	GString *text; /* of the line so far */
-	bool too_long;
-	struct err *err;
-};
-
-static void complain(struct reader *r, const char *what)
-{
-	if (!r->err->code)
-		err_set(r->err, ERR_BAD_LOG, "%s:%" G_GUINT64_FORMAT ": %s",
-			r->name, r->line, what);
-}
-
-static void end_line(struct explain *e, struct reader *r)
-{
-	r->line++;
-	if (r->text->len && r->text->str[r->text->len - 1] == '\r')
-		g_string_truncate(r->text, r->text->len - 1);
-	if (r->too_long)
-		complain(r, "the line is too long");
-	else if (r->text->len && !take_line(e, r->text->str, r->text->len))
-		complain(r, "not a JSON object");
-	g_string_truncate(r->text, 0);
-	r->too_long = false;
-}
-
-static void add_text(struct reader *r, const char *data, size_t len)
-{
-	if (r->text->len + len > LINE_MAX_BYTES)
-		r->too_long = true;
-	else
-		g_string_append_len(r->text, data, (gssize)len);
+	return line;
 }
 
 /* Reads one log to its end; *err names the first line that is broken. */
 void explain_read(struct explain *e, const char *name, FILE *log,
 		  struct err *err)
 {
-	struct reader r = { .name = name, .err = err };
-	char *buf = g_malloc(READ_BYTES);
-	size_t n;
-
-	r.text = g_string_new(NULL);
-	while ((n = fread(buf, 1, READ_BYTES, log)) > 0) {
-		const char *at = buf, *stop = buf + n, *end;
-
-		while ((end = memchr(at, '\n', (size_t)(stop - at)))) {
-			add_text(&r, at, (size_t)(end - at));
-			end_line(e, &r);
-			at = end + 1;
-		}
-		add_text(&r, at, (size_t)(stop - at));
-	}
-	r.line++;
-	if (r.text->len || r.too_long)
-		complain(&r, "the file ends in the middle of the line");
-	else if (ferror(log))
-		complain(&r, "can't be read");
-	g_string_free(r.text, TRUE);
-	g_free(buf);
+	log_lines_read(name, log, take_line, e, err);
 }
 
 static gint by_time(gconstpointer a, gconstpointer b)
 {
 	const struct match *x = *(const struct match *const *)a;
 	const struct match *y = *(const struct match *const *)b;
-	int d = strcmp(text_of(json_node_get_object(x->line), "time"),
-		       text_of(json_node_get_object(y->line), "time"));
+	int d = strcmp(log_lines_text(json_node_get_object(x->line), "time"),
+		       log_lines_text(json_node_get_object(y->line), "time"));
 
 	return d ? d : (int)x->order - (int)y->order;
 }
@@ -348,8 +270,8 @@
 		bool from_proxy = json_object_get_boolean_member_with_default(
 			line, "from_proxy", FALSE);
 
-		if (strcmp(text_of(line, "event"), "statement") != 0 &&
-		    strcmp(text_of(line, "event"), "request") != 0)
+		if (strcmp(log_lines_text(line, "event"), "statement") != 0 &&
+		    strcmp(log_lines_text(line, "event"), "request") != 0)
 			continue;
 		if (!found || !from_proxy)
 			found = line;
@@ -360,7 +282,7 @@
 /* Of the relay's codes, or of the product's own interface. */
 static const char *meaning_of(JsonObject *outcome)
 {
-	const char *code = text_of(outcome, "code");
+	const char *code = log_lines_text(outcome, "code");
 	const struct relay_code_info *info = relay_code_find(code);
 	const struct err_info *table;
 	unsigned i, n;
@@ -371,7 +293,7 @@
 	for (i = 0; i < n; i++)
 		if (!strcmp(table[i].name, code))
 			return table[i].meaning;
-	return text_of(outcome, "outcome");
+	return log_lines_text(outcome, "outcome");
 }
 
 static void append_value(GString *out, JsonNode *node)
@@ -392,9 +314,9 @@
 
 static const char *name_of(JsonObject *line)
 {
-	const char *event = text_of(line, "event");
+	const char *event = log_lines_text(line, "event");
 
-	return *event ? event : text_of(line, "decision");
+	return *event ? event : log_lines_text(line, "decision");
 }
 
 static bool is_head(const char *key)
@@ -455,7 +377,8 @@
 
 static void append_beliefs(GString *out, const struct match *m)
 {
-	int64_t now = number_of(json_node_get_object(m->line), "steady_ms");
+	int64_t now =
+		log_lines_number(json_node_get_object(m->line), "steady_ms");
 	unsigned i;
 
 	for (i = 0; i < m->beliefs->len; i++) {
@@ -465,8 +388,8 @@
 		g_string_append_printf(out,
 				       "\n    believed, %" G_GINT64_FORMAT
 				       " ms before: %s",
-				       now - number_of(b, "steady_ms"),
-				       text_of(b, "event"));
+				       now - log_lines_number(b, "steady_ms"),
+				       log_lines_text(b, "event"));
 		append_flat(out, b);
 	}
 }
@@ -482,9 +405,9 @@
 	g_string_append_printf(out, "%s: ", e->id);
 	if (outcome) {
 		g_string_append_printf(out, "%s (%" G_GINT64_FORMAT "), %s: %s",
-				       text_of(outcome, "code"),
-				       number_of(outcome, "number"),
-				       text_of(outcome, "outcome"),
+				       log_lines_text(outcome, "code"),
+				       log_lines_number(outcome, "number"),
+				       log_lines_text(outcome, "outcome"),
 				       meaning_of(outcome));
 	} else {
 		g_string_append(out, "no outcome in these logs");
@@ -495,8 +418,9 @@
 		JsonObject *line = json_node_get_object(m->line);
 
 		g_string_append_printf(out, "\n%s %s %s\n   ",
-				       text_of(line, "time"),
-				       text_of(line, "node"), name_of(line));
+				       log_lines_text(line, "time"),
+				       log_lines_text(line, "node"),
+				       name_of(line));
 		append_flat(out, line);
 		append_nested(out, line);
 		append_beliefs(out, m);
@@ -531,8 +455,8 @@
 	sort(e);
 	outcome = outcome_of(e);
 	json_object_set_string_member(o, "id", e->id);
-	json_object_set_string_member(o, "code",
-				      outcome ? text_of(outcome, "code") : "");
+	json_object_set_string_member(
+		o, "code", outcome ? log_lines_text(outcome, "code") : "");
 	json_object_set_string_member(o, "meaning",
 				      outcome ? meaning_of(outcome) : "");
 	for (i = 0; i < e->matches->len; i++)
--- /dev/null
+++ b/packages/cli/src/log_lines.c
@@ -0,0 +1,121 @@
+#include "log_lines.h"
+
+#include <string.h>
+
+#define LINE_MAX_BYTES ((size_t)1024 * 1024)
+#define READ_BYTES ((size_t)65536)
+
+/* Where a log is being read. */
+struct reader {
+	const char *name;
+	uint64_t line;
+	GString *text; /* of the line so far */
+	bool too_long;
+	log_line_fn take;
+	void *ctx;
+	struct err *err;
+};
+
+static void complain(struct reader *r, const char *what)
+{
+	if (!r->err->code)
+		err_set(r->err, ERR_BAD_LOG, "%s:%" G_GUINT64_FORMAT ": %s",
+			r->name, r->line, what);
+}
+
+static bool take_line(const struct reader *r)
+{
+	const char *begin = memchr(r->text->str, '{', r->text->len);
+
+	/* What a collector put before it is passed over. */
+	if (!begin || r->text->str[r->text->len - 1] != '}')
+		return false;
+	return r->take(r->ctx, begin,
+		       r->text->len - (size_t)(begin - r->text->str));
+}
+
+static void end_line(struct reader *r)
+{
+	r->line++;
+	if (r->text->len && r->text->str[r->text->len - 1] == '\r')
+		g_string_truncate(r->text, r->text->len - 1);
+	if (r->too_long)
+		complain(r, "the line is too long");
+	else if (r->text->len && !take_line(r))
+		complain(r, "not a JSON object");
+	g_string_truncate(r->text, 0);
+	r->too_long = false;
+}
+
+static void add_text(struct reader *r, const char *data, size_t len)
+{
+	if (r->text->len + len > LINE_MAX_BYTES)
+		r->too_long = true;
+	else
+		g_string_append_len(r->text, data, (gssize)len);
+}
+
+/* Reads one log to its end; *err names the first line that is broken. */
+void log_lines_read(const char *name, FILE *log, log_line_fn take, void *ctx,
+		    struct err *err)
+{
+	struct reader r = {
+		.name = name, .take = take, .ctx = ctx, .err = err
+	};
+	char *buf = g_malloc(READ_BYTES);
+	size_t n;
+
+	r.text = g_string_new(NULL);
+	while ((n = fread(buf, 1, READ_BYTES, log)) > 0) {
+		const char *at = buf, *stop = buf + n, *end;
+
+		while ((end = memchr(at, '\n', (size_t)(stop - at)))) {
+			add_text(&r, at, (size_t)(end - at));
+			end_line(&r);
+			at = end + 1;
+		}
+		add_text(&r, at, (size_t)(stop - at));
+	}
+	r.line++;
+	if (r.text->len || r.too_long)
+		complain(&r, "the file ends in the middle of the line");
+	else if (ferror(log))
+		complain(&r, "can't be read");
+	g_string_free(r.text, TRUE);
+	g_free(buf);
+}
+
+JsonObject *log_lines_parse(JsonParser *parser, const char *text, size_t len)
+{
+	JsonNode *root;
+
+	if (!json_parser_load_from_data(parser, text, (gssize)len, NULL))
+		return NULL;
+	root = json_parser_get_root(parser);
+	return root && JSON_NODE_HOLDS_OBJECT(root) ?
+		       json_node_get_object(root) :
+		       NULL;
+}
+
+const char *log_lines_text(JsonObject *line, const char *key)
+{
+	JsonNode *node = json_object_get_member(line, key);
+
+	return node && JSON_NODE_HOLDS_VALUE(node) &&
+			       json_node_get_value_type(node) == G_TYPE_STRING ?
+		       json_node_get_string(node) :
+		       "";
+}
+
+int64_t log_lines_number(JsonObject *line, const char *key)
+{
+	JsonNode *node = json_object_get_member(line, key);
+
+	return node && JSON_NODE_HOLDS_VALUE(node) ? json_node_get_int(node) :
+						     0;
+}
+
+bool log_lines_bool(JsonObject *line, const char *key)
+{
+	return json_object_get_boolean_member_with_default(line, key, FALSE);
+}
--- a/packages/cli/src/main.c
+++ b/packages/cli/src/main.c
@@ -54,6 +54,7 @@
 	{ { "peer-key", "new" }, "", 0, 0, cli_peer_key_new },
 	{ { "settings", "check" }, "FILE", 1, 1, cli_settings_check },
 	{ { "explain", NULL }, "ID FILE|-...", 2, 10000, cli_explain },
+	{ { "causes", NULL }, "FILE|-...", 1, 10000, cli_causes },
 };
 
 static const char *const kinds[] = { "profile", "database", "caller",
@@ -248,7 +249,8 @@
 static bool is_local(char **args)
 {
 	return !strcmp(args[0], "settings") || !strcmp(args[0], "token") ||
-	       !strcmp(args[0], "peer-key") || !strcmp(args[0], "explain");
+	       !strcmp(args[0], "peer-key") || !strcmp(args[0], "explain") ||
+	       !strcmp(args[0], "causes");
 }
 
 static void take_options(struct cli *cli, const struct options *o)
