--- a/packages/cli/src/causes.c
+++ b/packages/cli/src/causes.c
@@ -291,7 +291,7 @@
 
 void causes_write_text(struct causes *c, GString *out)
 {
-	enum cause order[CAUSES];
+	enum cause order[CAUSES] = { 0 };
 	unsigned i, n;
 
 	settle(c);
@@ -316,7 +316,7 @@
 
 void causes_write_json(struct causes *c, GString *out)
 {
-	enum cause order[CAUSES];
+	enum cause order[CAUSES] = { 0 };
 	unsigned i, n;
 
 	settle(c);
--- a/packages/relay/src/change.c
+++ b/packages/relay/src/change.c
@@ -23,18 +23,12 @@
 #define ELSEWHERE_US (250 * USEC_PER_MSEC)
 #define LOOK_US (400 * USEC_PER_MSEC) /* a replica is asked within it */
 #define ELSEWHERE_LIMIT_US (8 * USEC_PER_SEC)
-#define ORDER_AGAIN_US (150 * USEC_PER_MSEC)
 #define CLAIM_LIMIT_US USEC_PER_SEC
 #define FENCE_LIMIT_US (2500 * USEC_PER_MSEC)
 #define CATCH_UP_LIMIT_US (2 * USEC_PER_SEC)
 #define PROMOTE_LIMIT_US (1500 * USEC_PER_MSEC)
 #define SETTLE_LIMIT_US (3 * USEC_PER_SEC)
 #define PROMOTE_TRIES 3
-/*
- * A claim serves for 1.5 s, the platform may take PROMOTE_LIMIT_US to be told
- * and a second to carry it out; and a second more.
- */
-#define RESUME_AFTER_US (5 * USEC_PER_SEC)
 
 /* Whether this proxy is replacing the service's primary. */
 bool rch_is_running(const struct rservice *v)
@@ -215,23 +209,12 @@
 	return NULL;
 }
 
-static bool others_duty(const struct relay *r, uint64_t now_us)
-{
-	if (!r->duty_holder || !strcmp(r->duty_holder, r->name))
-		return false;
-	return now_us < r->duty_changed_us + r->settings.claim_hold_us;
-}
-
 static void start_claim(struct rservice *v, uint64_t now_us)
 {
 	struct relay *r = v->relay;
 
 	enter(v, PHASE_CLAIM, now_us);
-	if (r->claiming)
-		return;
-	r->claiming = true;
-	r->claim_sent_us = now_us;
-	r->ops->claim(r->ctx, r->duty_revision);
+	rdt_claim(r, now_us);
 }
 
 static void watch(struct rservice *v, uint64_t now_us)
@@ -248,7 +231,7 @@
 						   v->relay->rng, 0, JITTER_US);
 	}
 	if (now_us < v->act_after_us || !v->relay->duty_known ||
-	    v->relay->stopping || others_duty(v->relay, now_us))
+	    v->relay->stopping || rdt_is_others(v->relay, now_us))
 		return;
 	v->reason = why;
 	/*
@@ -296,13 +279,6 @@
 	return s->status.held >= v->fence_term;
 }
 
-static void order_again(struct rserver *s, enum relay_verb verb, uint64_t term,
-			uint64_t now_us)
-{
-	if (!s->order_wanted && now_us > s->order_sent_us + ORDER_AGAIN_US)
-		rsv_order(s, verb, term);
-}
-
 /*
  * Whether another proxy may take this server's word for the old primary: also
  * one that has just left the list, as long as it answers.
@@ -324,7 +300,7 @@
 		if (!may_confirm(v, s) || is_paused(v, s))
 			continue;
 		all = false;
-		order_again(s, RELAY_PAUSE, v->fence_term, now_us);
+		rsv_order_again(s, RELAY_PAUSE, v->fence_term, now_us);
 	}
 	return all;
 }
@@ -361,7 +337,7 @@
 		return;
 	}
 	if (is_planned(v))
-		order_again(v->old, RELAY_STEP_DOWN, v->fence_term, now_us);
+		rsv_order_again(v->old, RELAY_STEP_DOWN, v->fence_term, now_us);
 	if (is_planned(v) || !pause_others(v, now_us) || !no_two_are_left(v))
 		return;
 	v->fenced_us = now_us;
@@ -420,18 +396,6 @@
 	r->ops->promote(r->ctx, v->name, v->target->info.id, r->token);
 }
 
-/*
- * Failure: this proxy was suspended and another has the duty by now; a token
- * that is too low would reach the platform. A claim is used only while nobody
- * else may make one, with time to spare.
- */
-static bool claim_is_fresh(const struct relay *r, uint64_t now_us)
-{
-	return r->token &&
-	       (!r->guards.fresh_claim ||
-		now_us < r->claimed_us + r->settings.claim_hold_us / 2);
-}
-
 static void hold(struct rservice *v, uint64_t now_us)
 {
 	const struct relay_settings *set = &v->relay->settings;
@@ -439,7 +403,7 @@
 	if (v->fenced_us && v->relay->guards.hold_before_promote &&
 	    now_us + set->promote_least_us < v->fenced_us + set->authority_us)
 		return;
-	if (claim_is_fresh(v->relay, now_us))
+	if (rdt_is_fresh(v->relay, now_us))
 		promote(v, now_us);
 	else
 		start_claim(v, now_us);
@@ -453,66 +417,6 @@
 		give_up(v, "the target does not lead", now_us);
 }
 
-/* Whether the pause is this proxy's own, and the platform was told nothing. */
-static bool is_own_pause(const struct rservice *v, const struct rserver *s)
-{
-	return s->status.held == v->fence_term && !v->told &&
-	       !g_strcmp0(v->relay->duty_holder, v->relay->name);
-}
-
-/*
- * Whether a replica that another change left paused may receive again.
- *
- * Failure: a change runs elsewhere, and this proxy, which the store has not
- * answered since, knows nothing of it. The old primary comes back a moment
- * before the promotion takes effect, a replica is resumed here and confirms
- * it, and what it stores is told as stored and gone. Guard: the pause must be
- * older than a change can last after its claim, and this proxy must have the
- * duty itself: it claims it, which fails when another has claimed since, and
- * which makes the next claim of that other fail.
- */
-static bool may_resume(struct rservice *v, struct rserver *s, uint64_t now_us)
-{
-	struct relay *r = v->relay;
-
-	if (!r->guards.resume_under_duty)
-		return !others_duty(r, now_us);
-	if (s->held_seen != s->status.held) {
-		s->held_seen = s->status.held;
-		s->held_seen_us = now_us;
-	}
-	if (others_duty(r, now_us) || !r->duty_known || r->stopping ||
-	    (!is_own_pause(v, s) && now_us < s->held_seen_us + RESUME_AFTER_US))
-		return false;
-	if (claim_is_fresh(r, now_us))
-		return true;
-	if (!r->claiming && now_us > r->claim_sent_us + BACKOFF_US) {
-		r->claiming = true;
-		r->claim_sent_us = now_us;
-		r->ops->claim(r->ctx, r->duty_revision);
-	}
-	return false;
-}
-
-/* What was paused receives again, and an older primary follows. */
-static void tidy(struct rservice *v, uint64_t now_us)
-{
-	unsigned i;
-
-	if (!v->primary)
-		return;
-	for (i = 0; i < v->servers->len; i++) {
-		struct rserver *s = rservice_server(v, i);
-
-		if (s == v->primary || !rsv_is_up(s) || !s->status_us)
-			continue;
-		if (s->status.role == ROLE_PRIMARY && s->status.term < v->term)
-			order_again(s, RELAY_STEP_DOWN, v->term, now_us);
-		else if (s->status.held > v->term && may_resume(v, s, now_us))
-			order_again(s, RELAY_RESUME, 0, now_us);
-	}
-}
-
 /* Runs the state machine. */
 void rch_tick(struct rservice *v, uint64_t now_us)
 {
@@ -522,7 +426,7 @@
 	case PHASE_WATCH:
 		watch(v, now_us);
 		if (v->phase == PHASE_WATCH && !v->act_armed)
-			tidy(v, now_us);
+			rtd_tick(v, now_us);
 		break;
 	case PHASE_CLAIM:
 		if (now_us > v->phase_us + CLAIM_LIMIT_US)
--- a/packages/relay/src/pick.c
+++ b/packages/relay/src/pick.c
@@ -28,7 +28,7 @@
 		       PRIMARY_COST_US;
 	if (g_strcmp0(s->info.zone, s->relay->zone))
 		cost += OTHER_ZONE_COST_US;
-	if (s->service->peers && !rpr_is_good_home(s, now_us))
+	if (s->service->peers && !rvi_is_good_home(s, now_us))
 		cost += CUT_OFF_COST_US;
 	if (s->relay->guards.avoid_outliers)
 		cost += rol_cost_us(&s->outlier, now_us);
@@ -237,7 +237,7 @@
 	if (!v)
 		return;
 	if (!v->is_home && !s->peer) {
-		rpr_choose(s, profile, v, out, now_us);
+		rvi_choose(s, profile, v, out, now_us);
 		return;
 	}
 	note_primary_use(v, v->wanted_us, now_us);
@@ -245,10 +245,10 @@
 	out->server = choose_own(s, v, profile, out, now_us);
 	if (out->server)
 		rpk_take_conn(s, out, now_us);
-	else if (rpr_may_help(s, v, now_us))
-		rpr_choose(s, profile, v, out, now_us);
+	else if (rvi_may_help(s, v, now_us))
+		rvi_choose(s, profile, v, out, now_us);
 	else
-		out->cut_off = s->peer && rpr_is_cut_off(v, now_us);
+		out->cut_off = s->peer && rvi_is_cut_off(v, now_us);
 }
 
 static const char *role_name(const struct rserver *s)
--- a/packages/relay/src/relay_internal.h
+++ b/packages/relay/src/relay_internal.h
@@ -5,8 +5,10 @@
  * The relay's tables and the systems that run over them. Prefixes: rsv_
  * servers, rcn_ their connections, rss_ callers' sessions, rrun_ the statement
  * that a session has in flight, rpk_ which server runs it, rld_ who is
- * primary, rch_ its replacement, rol_ servers that fail in part, rcl_ limits of
- * what is in flight at a server, rlg_ log lines, rmt_ metrics.
+ * primary, rch_ its replacement, rdt_ the duty record, rtd_ what changes leave
+ * behind, rpr_ other proxies, rvi_ homes that sessions go through, rol_ servers
+ * that fail in part, rcl_ limits of what is in flight at a server, rlg_ log
+ * lines, rmt_ metrics.
  */
 
 #include <celeryquay/base/log_event.h>
@@ -346,6 +348,8 @@
 void rsv_failed(struct rserver *s, bool refused, uint64_t since_us);
 void rsv_probe_soon(struct rserver *s);
 void rsv_order(struct rserver *s, enum relay_verb verb, uint64_t term);
+void rsv_order_again(struct rserver *s, enum relay_verb verb, uint64_t term,
+		     uint64_t now_us);
 void rsv_probe_answered(struct rconn *c, const struct relay_answer *answer,
 			uint64_t now_us);
 void rsv_tick(struct rserver *s, uint64_t now_us);
@@ -417,13 +421,17 @@
 GPtrArray *rpr_table(void);
 void rpr_on_catalog(struct relay *r, uint64_t now_us);
 void rpr_tick(struct relay *r, uint64_t now_us);
-bool rpr_may_help(const struct rsession *s, const struct rservice *v,
+
+/* via.c */
+void rvi_list_all(struct relay *r, uint64_t now_us);
+void rvi_tick(struct relay *r, uint64_t now_us);
+bool rvi_may_help(const struct rsession *s, const struct rservice *v,
 		  uint64_t now_us);
-bool rpr_is_isolated(const struct relay *r, uint64_t now_us);
-bool rpr_is_cut_off(const struct rservice *v, uint64_t now_us);
-bool rpr_is_good_home(const struct rserver *s, uint64_t now_us);
-bool rpr_on_refused(const struct rsession *s, struct rserver *home);
-void rpr_choose(struct rsession *s, const struct relay_profile *profile,
+bool rvi_is_isolated(const struct relay *r, uint64_t now_us);
+bool rvi_is_cut_off(const struct rservice *v, uint64_t now_us);
+bool rvi_is_good_home(const struct rserver *s, uint64_t now_us);
+bool rvi_on_refused(const struct rsession *s, struct rserver *home);
+void rvi_choose(struct rsession *s, const struct relay_profile *profile,
 		struct rservice *v, struct rpick *out, uint64_t now_us);
 
 /* outlier.c */
@@ -449,6 +457,14 @@
 bool rld_floor(const struct rservice *v, uint64_t max_age_us, uint64_t now_us,
 	       struct rsample *out);
 
+/* duty.c */
+bool rdt_is_others(const struct relay *r, uint64_t now_us);
+bool rdt_is_fresh(const struct relay *r, uint64_t now_us);
+void rdt_claim(struct relay *r, uint64_t now_us);
+
+/* tidy.c */
+void rtd_tick(struct rservice *v, uint64_t now_us);
+
 /* change.c */
 void rch_tick(struct rservice *v, uint64_t now_us);
 void rch_on_claimed(struct relay *r, enum relay_claim outcome, uint64_t now_us);
--- a/packages/relay/src/run.c
+++ b/packages/relay/src/run.c
@@ -426,7 +426,7 @@
 	if (says_not_run(from->code))
 		s->run.sent = false;
 	if (server->service->peers && from->code == RELAY_BUSY &&
-	    !rpr_on_refused(s, server)) {
+	    !rvi_on_refused(s, server)) {
 		fail(s, from->code, "the home refused it", now_us);
 		return;
 	}
--- a/packages/relay/src/server.c
+++ b/packages/relay/src/server.c
@@ -13,6 +13,7 @@
 #define MISSING_PROBE_US (80 * USEC_PER_MSEC) /* without a primary */
 #define LEADS_ON_US (5 * USEC_PER_SEC)
 #define IDLE_PROBE_US (3 * USEC_PER_SEC)
+#define ORDER_AGAIN_US (150 * USEC_PER_MSEC)
 #define STATUS_US (10 * USEC_PER_SEC)
 #define LATENCY_FIRST_US (15 * USEC_PER_MSEC)
 
@@ -178,6 +179,14 @@
 	s->order_term = term;
 }
 
+/* The same unless it is under way. */
+void rsv_order_again(struct rserver *s, enum relay_verb verb, uint64_t term,
+		     uint64_t now_us)
+{
+	if (!s->order_wanted && now_us > s->order_sent_us + ORDER_AGAIN_US)
+		rsv_order(s, verb, term);
+}
+
 static void send_probe(struct rserver *s, struct rconn *c, uint64_t now_us)
 {
 	struct relay_statement st = { .verb = RELAY_STATUS };
--- /dev/null
+++ b/packages/relay/src/via.c
@@ -0,0 +1,368 @@
+/*
+ * The homes of a database's service, as servers that this proxy lends its
+ * sessions connections to: which of them it knows, which one runs a statement,
+ * and when one that is cut off is passed by.
+ */
+#define LOG_MODULE "via"
+#include "relay_internal.h"
+
+#define VIA_HOMES 3 /* that a proxy keeps connections to */
+#define HELP_TRIES 3
+#define REFUSED_COST_US (200 * USEC_PER_MSEC)
+#define HELP_AFTER_US (200 * USEC_PER_MSEC)
+/*
+ * A home that said so is tried again after that. A proxy of many asks for one
+ * database about once a second, and cuts last for seconds.
+ */
+#define CUT_OFF_US (5 * USEC_PER_SEC)
+/* With homes that are cut off among them, so many at most. */
+#define VIA_HOMES_MOST 8
+/* Homes that are asked for first are there after some 20 ms. */
+#define ISOLATED_US (500 * USEC_PER_MSEC)
+#define MIND_US (200 * USEC_PER_MSEC)
+#define WANTED_US (3 * USEC_PER_SEC) /* a database was asked for */
+
+static const struct relay_server_info *find_peer(const struct relay *r,
+						 const char *name)
+{
+	unsigned i;
+
+	for (i = 0; i < r->peers->len; i++) {
+		const struct relay_server_info *p =
+			g_ptr_array_index(r->peers, i);
+
+		if (!strcmp(p->id, name))
+			return p;
+	}
+	return NULL;
+}
+
+/* Those near first; among them each proxy prefers others. */
+static uint64_t preference(const struct relay *r,
+			   const struct relay_server_info *p)
+{
+	char *both = g_strconcat(r->name, "/", p->id, NULL);
+	uint64_t draw = g_str_hash(both);
+
+	g_free(both);
+	if (g_strcmp0(p->zone, r->zone))
+		draw += UINT64_C(1) << 32;
+	return draw;
+}
+
+/* The best home that is not in the service's list yet. */
+static const struct relay_server_info *next_home(const struct rservice *v,
+						 const struct rservice *via)
+{
+	const struct relay_server_info *best = NULL;
+	unsigned i, j;
+
+	for (i = 0; i < v->homes->len; i++) {
+		const struct relay_server_info *p =
+			find_peer(v->relay, g_ptr_array_index(v->homes, i));
+
+		for (j = 0; p && j < via->servers->len; j++) {
+			const struct rserver *s = rservice_server(via, j);
+
+			if (s->listed && !strcmp(s->info.id, p->id))
+				p = NULL;
+		}
+		if (p && (!best ||
+			  preference(v->relay, p) < preference(v->relay, best)))
+			best = p;
+	}
+	return best;
+}
+
+static void list_home(struct rservice *via, const struct relay_server_info *p,
+		      uint64_t now_us)
+{
+	struct relay *r = via->relay;
+	struct relay_server_info info = *p;
+	char *key = g_strconcat("@", via->name, "/", p->id, NULL);
+	struct rserver *s = g_hash_table_lookup(r->servers, key);
+
+	info.service = via->name;
+	if (s) {
+		rsv_update(s, &info, now_us);
+		g_free(key);
+		return;
+	}
+	s = rsv_create(via, &info, now_us);
+	g_hash_table_insert(r->servers, key, s);
+	g_ptr_array_add(via->servers, s);
+}
+
+static void unlist_homes(struct rservice *via, uint64_t now_us)
+{
+	unsigned i;
+
+	for (i = 0; i < via->servers->len; i++) {
+		struct rserver *s = rservice_server(via, i);
+
+		s->listed = false;
+		s->unlisted_us = now_us;
+	}
+}
+
+static void list_homes(struct rservice *via, const struct rservice *v,
+		       uint64_t now_us)
+{
+	unsigned i;
+
+	unlist_homes(via, now_us);
+	for (i = 0; i < VIA_HOMES; i++) {
+		const struct relay_server_info *p = next_home(v, via);
+
+		if (!p)
+			break;
+		list_home(via, p, now_us);
+	}
+	via->homes_changed = v->homes_changed;
+}
+
+/*
+ * Failure: a database isn't asked for here any more, or was taken out of the
+ * configuration; its homes stay listed, and one that stopped, or that refuses
+ * the database, is connected to several times a second for ever.
+ */
+void rvi_list_all(struct relay *r, uint64_t now_us)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, r->via);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct rservice *via = value;
+		const struct relay_profile *profile =
+			relay_catalog_profile(r->catalog, via->name);
+		const struct rservice *v = NULL;
+
+		if (profile)
+			v = g_hash_table_lookup(r->services, profile->service);
+		if (v)
+			list_homes(via, v, now_us);
+		else
+			unlist_homes(via, now_us);
+	}
+}
+
+/* Whether it failed, or refused a connection or a statement just now. */
+static bool is_bad_home(const struct rserver *s, uint64_t now_us)
+{
+	return s->failing_us || now_us < s->refused_until_us ||
+	       (s->heard_us && !rvi_is_good_home(s, now_us));
+}
+
+/*
+ * Failure: the few homes that this proxy knows are cut off, or lack the
+ * configuration, and its callers are refused while other homes serve. Guard:
+ * as many more are listed as are bad, until all are good again.
+ */
+static void mind_homes(struct rservice *via, const struct rservice *v,
+		       uint64_t now_us)
+{
+	const struct relay_server_info *p;
+	unsigned i, n_listed = 0, n_good = 0;
+
+	for (i = 0; i < via->servers->len; i++) {
+		const struct rserver *s = rservice_server(via, i);
+
+		n_listed += s->listed;
+		n_good += s->listed && !is_bad_home(s, now_us);
+	}
+	if (n_listed > VIA_HOMES && n_good == n_listed) {
+		list_homes(via, v, now_us);
+		return;
+	}
+	if (n_good >= VIA_HOMES || n_listed >= VIA_HOMES_MOST)
+		return;
+	p = next_home(v, via);
+	if (p)
+		list_home(via, p, now_us);
+}
+
+static bool is_reached(const struct rservice *via)
+{
+	unsigned i;
+
+	for (i = 0; i < via->servers->len; i++) {
+		const struct rserver *s = rservice_server(via, i);
+
+		if (s->listed && rsv_is_up(s))
+			return true;
+	}
+	return false;
+}
+
+/* Looks after the homes of what callers ask for. */
+static void mind_all(struct relay *r, uint64_t now_us)
+{
+	unsigned n_wanted = 0, n_lost = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, r->via);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct rservice *via = value;
+		const struct relay_profile *profile =
+			relay_catalog_profile(r->catalog, via->name);
+		const struct rservice *v = NULL;
+
+		if (profile)
+			v = g_hash_table_lookup(r->services, profile->service);
+		if (!v || v->is_home || now_us > via->wanted_us + WANTED_US)
+			continue;
+		mind_homes(via, v, now_us);
+		n_wanted++;
+		n_lost += !is_reached(via);
+	}
+	if (n_lost * 2 <= n_wanted)
+		r->isolated_us = 0;
+	else if (!r->isolated_us)
+		r->isolated_us = now_us;
+}
+
+/* Whether hardly a home is reached of what callers ask for, and not just now.
+ */
+bool rvi_is_isolated(const struct relay *r, uint64_t now_us)
+{
+	return r->isolated_us && now_us > r->isolated_us + ISOLATED_US;
+}
+
+/* Looks after homes now and then. */
+void rvi_tick(struct relay *r, uint64_t now_us)
+{
+	if (now_us < r->minded_us + MIND_US)
+		return;
+	r->minded_us = now_us;
+	mind_all(r, now_us);
+}
+
+/* The homes of the service, as servers of this database. */
+static struct rservice *via_of(struct rservice *v, const char *database,
+			       uint64_t now_us)
+{
+	struct relay *r = v->relay;
+	struct rservice *via = g_hash_table_lookup(r->via, database);
+
+	if (!via) {
+		via = rservice_create(r, database);
+		via->peers = true;
+		g_hash_table_insert(r->via, via->name, via);
+	}
+	if (via->homes_changed != v->homes_changed)
+		list_homes(via, v, now_us);
+	return via;
+}
+
+/*
+ * Whether others may reach a primary that this proxy can't: it fails here, or
+ * no replica can be heard, and no change of primary explains that.
+ */
+static bool others_may_reach(const struct rservice *v, uint64_t now_us)
+{
+	if (rch_is_running(v) || now_us < v->usable_us + HELP_AFTER_US)
+		return false;
+	if (!v->usable_us)
+		return true; /* it was made a home and isn't ready yet */
+	return v->primary && (v->primary->failing_us || !rld_holds(v, now_us));
+}
+
+/* Whether a run of a caller's may go through another proxy. */
+bool rvi_may_help(const struct rsession *s, const struct rservice *v,
+		  uint64_t now_us)
+{
+	return !s->peer && v->homes->len && s->run.tries < HELP_TRIES &&
+	       others_may_reach(v, now_us);
+}
+
+static bool fails_for_long(const struct rserver *s, uint64_t now_us)
+{
+	return s->failing_us && now_us > s->failing_us + HELP_AFTER_US;
+}
+
+/* Whether the primary has failed for a while, or all that could confirm it. */
+static bool is_known_to_fail(const struct rservice *v, uint64_t now_us)
+{
+	unsigned i;
+
+	if (fails_for_long(v->primary, now_us))
+		return true;
+	for (i = 0; i < v->servers->len; i++) {
+		const struct rserver *s = rservice_server(v, i);
+
+		if (s != v->primary && !fails_for_long(s, now_us))
+			return false;
+	}
+	return true;
+}
+
+/*
+ * Whether another proxy's statement should be told at once that this home
+ * can't serve it.
+ *
+ * Failure: some homes are cut off from a primary, or from all of its replicas.
+ * Proxies that go through them have their callers refused, each after a
+ * queue's turn, while other homes serve. Guard: such a home says so, which
+ * ordinary load never does, and the statement goes to another one.
+ */
+bool rvi_is_cut_off(const struct rservice *v, uint64_t now_us)
+{
+	if (!v->homes->len || !v->primary || !others_may_reach(v, now_us))
+		return false;
+	return (v->in_vain_us && now_us > v->in_vain_us + HELP_AFTER_US) ||
+	       is_known_to_fail(v, now_us);
+}
+
+/* Whether it is reached, and has not said just now that it can't serve. */
+bool rvi_is_good_home(const struct rserver *s, uint64_t now_us)
+{
+	return rsv_is_up(s) &&
+	       (!s->cut_off_us || now_us > s->cut_off_us + CUT_OFF_US);
+}
+
+/*
+ * A home had no server for a run in time. One that only helps round a cut may
+ * be cut off itself, so that others are asked first; where homes are the only
+ * way, asking another would add to an overload. True: another may be asked.
+ */
+bool rvi_on_refused(const struct rsession *s, struct rserver *home)
+{
+	const struct relay_profile *profile =
+		relay_catalog_profile(s->relay->catalog, s->database);
+	const struct rservice *v = NULL;
+
+	home->latency_us += REFUSED_COST_US;
+	if (profile)
+		v = g_hash_table_lookup(s->relay->services, profile->service);
+	return v && v->is_home && s->run.tries + 1 < HELP_TRIES;
+}
+
+/* Chooses a home for the session's run. */
+void rvi_choose(struct rsession *s, const struct relay_profile *profile,
+		struct rservice *v, struct rpick *out, uint64_t now_us)
+{
+	struct rservice *via = via_of(v, profile->database, now_us);
+	struct rserver *best = NULL;
+	uint64_t least = 0;
+	unsigned i;
+
+	out->why = "no-home";
+	via->wanted_us = now_us;
+	if (v->is_home && !rrun_has_time_for_peer(s, now_us))
+		return;
+	for (i = 0; i < via->servers->len; i++) {
+		struct rserver *server = rservice_server(via, i);
+
+		if (server->listed && rsv_is_up(server))
+			rpk_consider(server, &best, &least, &s->run, now_us);
+	}
+	if (!best)
+		return;
+	out->server = best;
+	out->why = "home";
+	if (profile->kind == RELAY_KIND_OWN_WRITES && !s->run.to_primary)
+		out->after = s->floor;
+	rpk_take_conn(s, out, now_us);
+}
