--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: all build deps run test check sanitize fuzz soak lint format bench \
+.PHONY: all build deps run run-relay test check sanitize fuzz soak lint format bench \
 	plots install clean
 
 all: build
@@ -22,6 +22,11 @@
 run: build
 	@CQ_BIN=$(abspath $(BUILD))/bin exec $(BUILD)/bin/celeryquay-demo
 
+# The relay: a store, two services and three proxies; Ctrl-C ends it.
+run-relay: build
+	@CQ_BIN=$(abspath $(BUILD))/bin exec $(BUILD)/bin/celeryquay-soak \
+		--serve --proxies=3 --connections=40 --callers=0
+
 test: build
 	@.ci/check $(BUILD)
 
--- a/tests/soak/fleet.c
+++ b/tests/soak/fleet.c
@@ -16,7 +16,6 @@
 #define RESTART_US (300 * MS)
 #define STOP_WAIT_US (10 * SEC)
 #define CALLERS_PORT 8784
-#define READY_PORT 8785
 #define PEERS_PORT 7440
 #define FEED_PORT 7455
 #define METRICS_PORT 9464
@@ -43,8 +42,8 @@
 		"\"metrics\":\"%s:%u\",\"store\":\"127.0.0.1:%u\","
 		"\"control\":\"127.0.0.1:%u\"}}",
 		p->name, p->address, CALLERS_PORT, p->address, PEERS_PORT,
-		p->address, FEED_PORT, MBPS, p->address, READY_PORT, p->address,
-		METRICS_PORT, p->store, p->store);
+		p->address, FEED_PORT, MBPS, p->address, FLEET_READY_PORT,
+		p->address, METRICS_PORT, p->store, p->store);
 	bool ok;
 
 	p->settings = g_strdup_printf("%s/%s.json", p->fleet->dir, p->name);
@@ -156,7 +155,7 @@
 
 	p->asked = true;
 	q->proxy = p;
-	q->wire = wire_connect(p->fleet->loop, p->address, READY_PORT,
+	q->wire = wire_connect(p->fleet->loop, p->address, FLEET_READY_PORT,
 			       &question_events, q);
 }
 
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -11,6 +11,7 @@
 #include <child.h>
 
 #define PROXIES_MAX 160
+#define FLEET_READY_PORT 8785
 
 struct fleet;
 struct http;
--- a/tests/soak/group.h
+++ b/tests/soak/group.h
@@ -69,6 +69,7 @@
 struct groups {
 	uv_loop_t *loop;
 	enum group_lie lie;
+	bool adopts; /* statements that nobody here has sent are taken, too */
 	struct audit *audit;
 	struct store *store;
 	GRand *rng;
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -34,6 +34,7 @@
 	int recover_seconds;
 	int jobs;
 	gboolean show_plan;
+	gboolean serve;
 };
 
 static struct soak {
@@ -250,6 +251,52 @@
 	return !audit_n_wrong(soak.audit);
 }
 
+static void on_end_signal(uv_signal_t *signal, int number)
+{
+	(void)number;
+	uv_stop(signal->loop);
+}
+
+/* Where a caller can speak to each proxy, and its pages for operators. */
+static void print_ready(void)
+{
+	unsigned i;
+
+	printf("{\"ready\": true, \"proxies\": [");
+	for (i = 0; i < soak.fleet->n; i++) {
+		const struct fleet_proxy *p = &soak.fleet->proxies[i];
+
+		printf("%s{\"name\": \"%s\", \"callers\": "
+		       "\"127.0.0.1:%u\", \"pages\": \"%s:%u\"}",
+		       i ? ", " : "", p->name, p->front, p->address,
+		       FLEET_READY_PORT);
+	}
+	printf("], \"store\": \"127.0.0.1:%u\"}\n", store_port(soak.store));
+	fflush(stdout);
+}
+
+/* The same processes, without callers and faults, until a signal. */
+static bool serve(void)
+{
+	GRand *rng = g_rand_new_with_seed(1);
+	uv_signal_t ends[2];
+
+	uv_loop_init(&soak.loop);
+	signal(SIGPIPE, SIG_IGN);
+	if (!start(rng)) {
+		fprintf(stderr, "the proxies can't start\n");
+		return false;
+	}
+	soak.groups->adopts = true;
+	uv_signal_init(&soak.loop, &ends[0]);
+	uv_signal_start(&ends[0], on_end_signal, SIGINT);
+	uv_signal_init(&soak.loop, &ends[1]);
+	uv_signal_start(&ends[1], on_end_signal, SIGTERM);
+	print_ready();
+	uv_run(&soak.loop, UV_RUN_DEFAULT);
+	return fleet_destroy(soak.fleet);
+}
+
 static char *self_path(void)
 {
 	return g_file_read_link("/proc/self/exe", NULL);
@@ -345,6 +392,8 @@
 		  "NAME" },
 		{ "keep", 0, 0, G_OPTION_ARG_STRING, &o->keep,
 		  "Where the proxies' logs go, a folder for each seed", "DIR" },
+		{ "serve", 0, 0, G_OPTION_ARG_NONE, &o->serve,
+		  "No callers and no faults: for a look by hand", NULL },
 		{ "plan", 0, 0, G_OPTION_ARG_NONE, &o->show_plan,
 		  "Print the faults of each seed", NULL },
 		G_OPTION_ENTRY_NULL
@@ -379,6 +428,8 @@
 	if (!parse(&argc, &argv, &o))
 		return 2;
 	soak.options = o;
+	if (o.serve)
+		return serve() ? 0 : 1;
 	if (o.seed)
 		return run_seed() ? 0 : 1;
 	if (!o.seeds || sscanf(o.seeds, "%d-%d", &from, &to) != 2 || from < 1 ||
--- a/tests/soak/server.c
+++ b/tests/soak/server.c
@@ -427,6 +427,27 @@
 		c->state = 'I';
 }
 
+/* A statement that somebody sent by hand. */
+static struct ask *adopt(struct conn *c, const struct relay_statement *st)
+{
+	struct audit *audit = c->server->groups->audit;
+	struct ask *k = audit_ask(audit);
+	char *name = str_dup(st->name);
+
+	k->attempt = c->state == 'T' && c->attempt ? c->attempt :
+						     audit_attempt(audit);
+	k->verb = st->verb;
+	k->in_transaction = c->state != 'I';
+	k->name = name;
+	k->text = str_dup(st->text);
+	k->values = audit_values(c->values);
+	k->shape = g_strdup(g_hash_table_lookup(c->prepared, name));
+	k->writes = st->verb == RELAY_WRITE ||
+		    (st->verb == RELAY_EXECUTE && k->shape &&
+		     g_str_has_prefix(k->shape, "WRITE"));
+	return k;
+}
+
 static void run(struct conn *c, const struct relay_statement *st)
 {
 	struct server *s = c->server;
@@ -438,7 +459,9 @@
 	GString *out = g_string_new(NULL);
 	enum relay_code code;
 
-	if (st->id.len && (!k || !is_same(k, st)))
+	if (!k && !is_own && s->groups->adopts)
+		k = adopt(c, st);
+	if (st->id.len && !s->groups->adopts && (!k || !is_same(k, st)))
 		audit_wrong(s->groups->audit, "nobody asked for %.*s",
 			    (int)st->id.len, st->id.data);
 	if (!is_own && k) {
