--- a/packages/relay/src/climit.c
+++ b/packages/relay/src/climit.c
@@ -24,6 +24,10 @@
 /* As few as may be judged: slow ones come in runs. */
 #define JUDGED_LEAST 8
 #define JUDGE_US (50 * USEC_PER_MSEC)
+/*
+ * Down to a half within three judgements, up by one in two: the first ends an
+ * overload within a second, the second keeps it from coming back at once.
+ */
 #define SHRINK 0.8
 #define GROW 0.5
 /* More than a server's slots and as much again is no limit any more. */
--- a/packages/relay/src/peer.c
+++ b/packages/relay/src/peer.c
@@ -4,10 +4,7 @@
  * service's homes, connect to its servers; the others lend their sessions
  * connections to homes. A home treats these as sessions of its own, so every
  * decision about servers is made there; the session's values, prepared
- * statements and floor come along with each use.
- *
- * A proxy that can't reach a primary that others may reach goes through one of
- * them in the same way. What came from a proxy is never passed on again.
+ * statements and floor come along with each use: via.c.
  */
 #define LOG_MODULE "peer"
 #include "relay_internal.h"
--- a/packages/relay/src/via.c
+++ b/packages/relay/src/via.c
@@ -2,13 +2,17 @@
  * The homes of a database's service, as servers that this proxy lends its
  * sessions connections to: which of them it knows, which one runs a statement,
  * and when one that is cut off is passed by.
+ *
+ * A proxy that can't reach a primary that others may reach goes through one of
+ * them in the same way. What came from a proxy is never passed on again.
  */
 #define LOG_MODULE "via"
 #include "relay_internal.h"
 
 #define VIA_HOMES 3 /* that a proxy keeps connections to */
-#define HELP_TRIES 3
-#define REFUSED_COST_US (200 * USEC_PER_MSEC)
+#define HELP_TRIES 3 /* a queue's turn has room for no more */
+#define REFUSED_COST_US (200 * USEC_PER_MSEC) /* above what load costs */
+/* Most changes of server and lost packets are over by then. */
 #define HELP_AFTER_US (200 * USEC_PER_MSEC)
 /*
  * A home that said so is tried again after that. A proxy of many asks for one
@@ -223,8 +227,7 @@
 		r->isolated_us = now_us;
 }
 
-/* Whether hardly a home is reached of what callers ask for, and not just now.
- */
+/* Whether most of what callers ask for has had no home for a while. */
 bool rvi_is_isolated(const struct relay *r, uint64_t now_us)
 {
 	return r->isolated_us && now_us > r->isolated_us + ISOLATED_US;
