daemon: a relay frees what it has when it ends

Found by the soak under LeakSanitizer: each relay that stopped ended with exit code 1. Its driver's handles were closed after the loop's last turn, so their memory stayed. Ruled out: sessions and connections, whose memory goes before. Now the loop turns until all are closed, 16 times at most, and is closed.

The soak's own copy of its arguments is freed, and what it prints is flushed before a sanitizer ends it.

--- a/packages/daemon/src/relay_node.c
+++ b/packages/daemon/src/relay_node.c
@@ -17,6 +17,7 @@
 #define LOG_LINES_PER_S 200
 #define LOG_BYTES_PER_S 65536
 #define LOG_LIMIT 1000000000
+#define END_TURNS 16 /* of the loop; handles need two or three */
 
 struct relay_node {
 	uv_loop_t loop;
@@ -319,6 +320,32 @@
 	return true;
 }
 
+static void close_handle(uv_handle_t *handle)
+{
+	if (!uv_is_closing(handle))
+		uv_close(handle, NULL);
+}
+
+/*
+ * Ends the driver and the node's own handles. What closes does so within a few
+ * turns; the process ends even if something does not.
+ */
+static void end_loop(struct relay_node *n)
+{
+	unsigned i;
+
+	n->driver->destroy(n->state);
+	n->state = NULL;
+	close_handle((uv_handle_t *)&n->tick);
+	close_handle((uv_handle_t *)&n->on_term);
+	close_handle((uv_handle_t *)&n->on_int);
+	close_handle((uv_handle_t *)&n->on_hup);
+	for (i = 0; i < END_TURNS && uv_run(&n->loop, UV_RUN_NOWAIT); i++)
+		;
+	if (uv_loop_close(&n->loop))
+		LOG_DBG("handles are left at the end");
+}
+
 static void destroy(struct relay_node *n)
 {
 	if (n->state)
@@ -395,6 +422,7 @@
 	uv_run(&n->loop, UV_RUN_DEFAULT);
 	relay_end(n->relay, relay_node_now_us());
 	log_life("stopped", n);
+	end_loop(n);
 	log_flush();
 	destroy(n);
 	return EXIT_SUCCESS;
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -248,6 +248,7 @@
 		printf("%s", plan);
 		g_free(plan);
 	}
+	fflush(stdout); /* a sanitizer may end the process before exit does */
 	return !audit_n_wrong(soak.audit);
 }
 
@@ -415,6 +416,12 @@
 	return ok;
 }
 
+static bool parse_seeds(const char *text, int *from, int *to)
+{
+	return text && sscanf(text, "%d-%d", from, to) == 2 && *from >= 1 &&
+	       *to >= *from;
+}
+
 int main(int argc, char **argv)
 {
 	struct options o = { .seconds = 15,
@@ -422,7 +429,7 @@
 			     .callers = 24,
 			     .recover_seconds = 12,
 			     .jobs = 3 };
-	char **given = g_strdupv(argv);
+	g_auto(GStrv) given = g_strdupv(argv);
 	int from = 0, to = 0;
 
 	if (!parse(&argc, &argv, &o))
@@ -432,8 +439,7 @@
 		return serve() ? 0 : 1;
 	if (o.seed)
 		return run_seed() ? 0 : 1;
-	if (!o.seeds || sscanf(o.seeds, "%d-%d", &from, &to) != 2 || from < 1 ||
-	    to < from) {
+	if (!parse_seeds(o.seeds, &from, &to)) {
 		fprintf(stderr, "--seeds A-B is wanted\n");
 		return 2;
 	}
