--- a/tests/soak/audit.c
+++ b/tests/soak/audit.c
@@ -38,13 +38,6 @@
 	return a;
 }
 
-void audit_destroy(struct audit *a)
-{
-	g_hash_table_destroy(a->asks);
-	g_ptr_array_free(a->attempts, TRUE);
-	g_free(a);
-}
-
 struct attempt *audit_attempt(struct audit *a)
 {
 	struct attempt *t = g_new0(struct attempt, 1);
--- a/tests/soak/audit.h
+++ b/tests/soak/audit.h
@@ -37,7 +37,6 @@
 struct audit;
 
 struct audit *audit_create(void);
-void audit_destroy(struct audit *a);
 struct attempt *audit_attempt(struct audit *a);
 struct ask *audit_ask(struct audit *a);
 struct ask *audit_find(struct audit *a, struct str id);
--- a/tests/soak/caller.c
+++ b/tests/soak/caller.c
@@ -473,20 +473,3 @@
 {
 	return all->count;
 }
-
-/* The loop may still hold timers of theirs: it must not turn after this. */
-void callers_destroy(struct callers *all)
-{
-	unsigned i;
-
-	for (i = 0; i < all->n; i++) {
-		struct caller *c = &all->callers[i];
-
-		g_hash_table_destroy(c->values);
-		g_hash_table_destroy(c->prepared);
-		g_free(c->rows);
-		g_free(c->signature);
-	}
-	g_free(all->callers);
-	g_free(all);
-}
--- a/tests/soak/caller.h
+++ b/tests/soak/caller.h
@@ -19,7 +19,6 @@
 
 struct callers *callers_create(struct fleet *f, struct groups *g, GRand *rng,
 			       unsigned n);
-void callers_destroy(struct callers *c);
 struct callers_count callers_count(const struct callers *c);
 /* No fault but planned stops before this moment counts as over. */
 void callers_note_fault(struct callers *c);
--- a/tests/soak/group.c
+++ b/tests/soak/group.c
@@ -358,22 +358,3 @@
 	uv_timer_start(&g->stream, on_stream, STREAM_MS, STREAM_MS);
 	return g;
 }
-
-static void on_closed(uv_handle_t *handle)
-{
-	g_free(handle->data);
-}
-
-/* After their connections; memory goes with the loop's next turn. */
-void groups_destroy(struct groups *g)
-{
-	unsigned i;
-
-	for (i = 0; i < g->n * GROUP_SIZE; i++) {
-		g_array_free(g->servers[i].log, TRUE);
-		g_ptr_array_free(g->servers[i].conns, TRUE);
-	}
-	g_array_free(g->commits, TRUE);
-	g_free(g->holder);
-	uv_close((uv_handle_t *)&g->stream, on_closed);
-}
--- a/tests/soak/group.h
+++ b/tests/soak/group.h
@@ -88,7 +88,6 @@
 
 struct groups *groups_create(uv_loop_t *loop, struct audit *audit, GRand *rng,
 			     unsigned n, unsigned max_connections);
-void groups_destroy(struct groups *g);
 /* The servers' ports are known: they are listed in the store. */
 void groups_list(struct groups *g);
 unsigned groups_promote(void *ctx, const char *service, const char *id,
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -219,8 +219,8 @@
 }
 
 /*
- * One seed, after which the process ends: what timers still hold goes with
- * it. True: nothing was wrong.
+ * One seed, after which the process ends: what the loop's timers hold goes with
+ * it, so nothing but the fleet is taken down. True: nothing was wrong.
  */
 static bool run_seed(void)
 {
--- a/tests/soak/plan.c
+++ b/tests/soak/plan.c
@@ -195,13 +195,6 @@
 	return p;
 }
 
-void plan_destroy(struct plan *p)
-{
-	g_array_free(p->events, TRUE);
-	g_rand_free(p->rng);
-	g_free(p);
-}
-
 static const char *route_name(enum route_kind kind)
 {
 	static const char *const names[] = { "server", "store", "front" };
--- a/tests/soak/plan.h
+++ b/tests/soak/plan.h
@@ -9,7 +9,6 @@
 
 struct plan *plan_create(uint32_t seed, unsigned n_proxies, unsigned n_servers,
 			 uint64_t length_us, unsigned gap_ms);
-void plan_destroy(struct plan *p);
 /* One line for each, "2.350 s: kill proxy-1". */
 char *plan_text(const struct plan *p);
 /* Lets all happen, from now on. */
