--- a/packages/core/src/member_ring.c
+++ b/packages/core/src/member_ring.c
@@ -56,7 +56,7 @@
 		g_ptr_array_add(list, member);
 }
 
-/* Distances run one way round, so the farthest is the one just before. */
+/* Distances run in one direction, so the farthest is the one just before. */
 static void look_at(struct ring_sides *sides, struct member *member,
 		    uint32_t distance)
 {
