relay: servers that start anew under their id

Cause: a server was its id, and what was believed of it outlived its process. Three tests on the virtual clock failed first: a replica that forgot its pause confirmed the old primary, a primary that forgot its step-down led on, and a primary without its log was read from. Ruled out: ignoring a restarted replica for 5 s, since a reset of both replicas' connections would stop all writes as long; doubting at once when a connection breaks, since homes that are cut off then lost their lease before they could say so (test_homes failed). Change: an info carries the start of its process; a later one drops what was believed. A connection that opens after one broke puts the server in doubt: a replica's word counts with that of all others, a primary shows itself again, a running change fences again. Replicas are paused on planned changes too. Servers of services that no configuration names are left alone.

--- a/packages/relay/include/celeryquay/relay/relay.h
+++ b/packages/relay/include/celeryquay/relay/relay.h
@@ -28,6 +28,13 @@
 	bool leaving;
 	enum server_role role; /* as it saw itself when it was listed */
 	unsigned slots;
+	/*
+	 * Unix ms of its process's start, 0: not said. A process that starts
+	 * under the id of an earlier one has a later start.
+	 */
+	uint64_t born_ms;
+	/* Its entry can't be read any more: not to be used. */
+	bool unusable;
 	/* Of a proxy: where others follow the store through it, 0: nowhere. */
 	uint16_t feed_port;
 	unsigned mbps; /* of its link */
--- a/packages/relay/src/change.c
+++ b/packages/relay/src/change.c
@@ -300,7 +300,12 @@
 		if (!may_confirm(v, s) || is_paused(v, s))
 			continue;
 		all = false;
-		rsv_order_again(s, RELAY_PAUSE, v->fence_term, now_us);
+		/* A primary that is not relied on can't be paused. */
+		rsv_order_again(s,
+				s->status.role == ROLE_PRIMARY ?
+					RELAY_STEP_DOWN :
+					RELAY_PAUSE,
+				v->fence_term, now_us);
 	}
 	return all;
 }
@@ -341,9 +346,29 @@
 	if (is_planned(v) || !pause_others(v, now_us) || !no_two_are_left(v))
 		return;
 	v->fenced_us = now_us;
+	rld_ask(v);
 	enter(v, PHASE_HOLD, now_us);
 }
 
+/*
+ * Whether each server that was paused has said so since all of them were: one
+ * that fell silent may have started anew without its pause.
+ */
+static bool pauses_stand(const struct rservice *v)
+{
+	unsigned i;
+
+	if (!v->fenced_us || !v->relay->guards.doubt_reborn)
+		return true;
+	for (i = 0; i < v->servers->len; i++) {
+		const struct rserver *s = rservice_server(v, i);
+
+		if (is_paused(v, s) && s->status_us < v->fenced_us)
+			return false;
+	}
+	return true;
+}
+
 static struct rserver *best_target(struct rservice *v)
 {
 	struct rserver *best = NULL;
@@ -371,6 +396,16 @@
 	if (best && position_cmp(best->status.received, v->old_position) < 0 &&
 	    now_us < v->phase_us + CATCH_UP_LIMIT_US)
 		return;
+	/*
+	 * Failure: the old primary starts anew before the promotion takes
+	 * effect, has forgotten that it stepped down, and is confirmed by
+	 * replicas. What it stores is told as stored, and gone. Guard: they
+	 * are paused by then; without leases that must run out first, since
+	 * until it starts anew it stores nothing.
+	 */
+	if (v->relay->guards.doubt_reborn && !pause_others(v, now_us) &&
+	    now_us < v->phase_us + CATCH_UP_LIMIT_US)
+		return;
 	v->fenced_us = 0;
 	enter(v, PHASE_HOLD, now_us);
 }
@@ -403,6 +438,11 @@
 	if (v->fenced_us && v->relay->guards.hold_before_promote &&
 	    now_us + set->promote_least_us < v->fenced_us + set->authority_us)
 		return;
+	if (!pauses_stand(v)) {
+		if (now_us > v->phase_us + FENCE_LIMIT_US)
+			give_up(v, "a paused server is silent", now_us);
+		return;
+	}
 	if (rdt_is_fresh(v->relay, now_us))
 		promote(v, now_us);
 	else
@@ -420,7 +460,7 @@
 /* Runs the state machine. */
 void rch_tick(struct rservice *v, uint64_t now_us)
 {
-	if (!v->is_home && v->phase == PHASE_WATCH)
+	if ((!v->is_home || !v->configured) && v->phase == PHASE_WATCH)
 		return;
 	switch (v->phase) {
 	case PHASE_WATCH:
@@ -500,6 +540,36 @@
 	enter(v, PHASE_HOLD, now_us);
 }
 
+/* The fence is made once more, under the same term and for the same target. */
+static void fence_again(struct rservice *v, uint64_t now_us)
+{
+	v->stepped_down = false;
+	v->fenced_us = 0;
+	if (v->phase != PHASE_CLAIM)
+		enter(v, PHASE_FENCE, now_us);
+}
+
+/*
+ * A server may have started anew and forgotten what this change told it: that
+ * it stepped down, or is paused. Until the platform is told, the fence is made
+ * once more; from then on the server is told again.
+ */
+void rch_on_doubt(struct rserver *s, uint64_t now_us)
+{
+	struct rservice *v = s->service;
+	bool stepped_down = s == v->old && v->stepped_down;
+	bool paused = s != v->old && (v->fenced_us || v->stepped_down);
+
+	if (v->phase == PHASE_WATCH || (!stepped_down && !paused))
+		return;
+	if (v->phase < PHASE_PROMOTE)
+		fence_again(v, now_us);
+	else if (stepped_down)
+		rsv_order(s, RELAY_STEP_DOWN, v->fence_term);
+	else if (s != v->target)
+		rsv_order(s, RELAY_PAUSE, v->fence_term);
+}
+
 /*
  * Failure: the platform's word on a promotion is lost, or another proxy
  * replaced the primary meanwhile; one more promotion would take the lead from
--- a/packages/relay/src/conn.c
+++ b/packages/relay/src/conn.c
@@ -211,10 +211,22 @@
 	g_queue_push_head_link(&c->server->idle, &c->link);
 }
 
-/* Whether this proxy is to have connections to the server at all. */
-static bool is_ours(const struct rserver *s)
+/*
+ * Whether this proxy is to have connections to the server at all. One that is
+ * listed for a service that no configuration names is nobody's.
+ */
+bool rcn_is_ours(const struct rserver *s)
+{
+	const struct rservice *v = s->service;
+
+	return v->peers || (v->is_home && v->configured);
+}
+
+/* Closes the connections that nothing is in flight on. */
+void rcn_close_idle(struct rserver *s)
 {
-	return s->service->peers || s->service->is_home;
+	while (s->idle.head)
+		rcn_close(s->idle.head->data);
 }
 
 static void close_spare(struct rserver *s, uint64_t now_us)
@@ -230,7 +242,7 @@
 		after_us = SPARE_CLOSE_US;
 	if (!rsv_takes_work(s, now_us))
 		after_us = 0;
-	if (!rsv_is_wanted(s, now_us) || !is_ours(s) ||
+	if (!rsv_is_wanted(s, now_us) || !rcn_is_ours(s) ||
 	    (s->n_conns > set->warm_connections &&
 	     now_us > c->used_us + after_us))
 		rcn_close(c);
@@ -240,7 +252,7 @@
 void rcn_tick(struct rserver *s, uint64_t now_us)
 {
 	close_spare(s, now_us);
-	if (is_ours(s) && rsv_takes_work(s, now_us) && !s->n_opening &&
+	if (rcn_is_ours(s) && rsv_takes_work(s, now_us) && !s->n_opening &&
 	    s->n_conns < s->relay->settings.warm_connections &&
 	    rcn_may_open(s, now_us))
 		rcn_open(s, now_us);
@@ -291,6 +303,7 @@
 		rsv_failed(s, false, silent_since_us(c));
 	rsv_probe_soon(s);
 	rcn_close(c);
+	rsv_conn_broke(s, now_us);
 	if (session)
 		rrun_on_lost(session, s, true, now_us);
 }
@@ -393,6 +406,8 @@
 		rrun_dispatch(r, now_us);
 		return;
 	}
+	c->opened_us = now_us;
+	rsv_conn_opened(s, now_us);
 	rsv_heard(s, answer, c->sent_us, now_us);
 	s->n_opening--;
 	c->state = RCONN_LENT;
@@ -440,6 +455,7 @@
 		s->in_flight--;
 		note_load(c, answer->code, now_us - sent_us, now_us);
 	}
+	rsv_conn_answered(s, c, sent_us);
 	rsv_heard(s, answer, sent_us, now_us);
 	if (step == STEP_STATUS || step == STEP_ORDER)
 		rsv_probe_answered(c, answer, now_us);
@@ -472,6 +488,8 @@
 		s->open_after_us = now_us;
 	rsv_probe_soon(s);
 	forget(c);
+	if (!opening)
+		rsv_conn_broke(s, now_us);
 	if (session)
 		rrun_on_lost(session, s, false, now_us);
 	rsv_tick(s, now_us);
--- a/packages/relay/src/lead.c
+++ b/packages/relay/src/lead.c
@@ -16,6 +16,11 @@
 #define SAMPLE_EVERY_US (40 * USEC_PER_MSEC)
 #define RENEW_US (150 * USEC_PER_MSEC)
 #define WANTED_US USEC_PER_SEC
+/*
+ * A change of primary is over by then: what a server forgot when it started
+ * anew matters no more. The same as what tidy.c waits before it ends a pause.
+ */
+#define DOUBT_US (5 * USEC_PER_SEC)
 
 /* Whether another server is known that could take the primary's place. */
 static bool has_others(const struct rservice *v)
@@ -94,6 +99,35 @@
 		set_primary(s->service, NULL, now_us);
 }
 
+/*
+ * Failure: a primary starts anew without its log, and leads on in its term.
+ * Members see none of what they stored, though its replicas have it. Guard: it
+ * is not taken for the primary while it lacks a position that this proxy has
+ * seen of the same term, so that a replica takes its place.
+ */
+static bool lacks_its_log(const struct rserver *s)
+{
+	const struct rservice *v = s->service;
+	struct position newest;
+
+	if (!s->relay->guards.doubt_reborn || !v->n_samples ||
+	    s->status.term != v->samples_term)
+		return false;
+	newest = v->samples[(v->n_samples - 1) % SAMPLES].position;
+	return position_cmp(s->status.received, newest) < 0;
+}
+
+/*
+ * The server may have started anew. A primary has to show itself once more,
+ * and what replicas said of it before holds for its former process alone.
+ */
+void rld_on_doubt(struct rserver *s, uint64_t now_us)
+{
+	s->doubted_us = now_us;
+	rld_drop(s, now_us);
+	rld_ask(s->service);
+}
+
 static void note_primary(struct rserver *s, uint64_t now_us)
 {
 	struct rservice *v = s->service;
@@ -102,11 +136,45 @@
 		return;
 	if (v->primary == s && s->status.term == v->term)
 		return;
+	if (lacks_its_log(s)) {
+		rlg_server_event(s, "primary-without-its-log");
+		return;
+	}
 	if (v->primary == s)
 		set_primary(v, NULL, now_us);
 	set_primary(v, s, now_us);
 }
 
+/*
+ * Whether a replica's word on the primary counts.
+ *
+ * Failure: another proxy paused all replicas and is about to promote one. One
+ * of the others starts anew and has forgotten the pause; it confirms the old
+ * primary here, and what is stored there is told as stored and is gone. Guard:
+ * while a replica may have started anew, it counts only together with all the
+ * others, each asked after that; one of these still knows. A lone replica is
+ * itself the one that is promoted.
+ */
+static bool word_counts(struct rserver *s, uint64_t now_us)
+{
+	const struct rservice *v = s->service;
+	unsigned i;
+
+	if (!s->doubted_us || !s->relay->guards.doubt_reborn)
+		return true;
+	for (i = 0; i < v->servers->len; i++) {
+		const struct rserver *o = rservice_server(v, i);
+
+		if (o == s || o == v->primary ||
+		    now_us > s->doubted_us + DOUBT_US)
+			continue;
+		if (o->agreed_term != v->term || o->agreed_us <= s->doubted_us)
+			return false;
+	}
+	s->doubted_us = 0;
+	return true;
+}
+
 static void note_replica(struct rserver *s, uint64_t started_us,
 			 uint64_t now_us)
 {
@@ -120,7 +188,9 @@
 	}
 	if (!v->primary || s->status.held > v->term)
 		return;
-	if (started_us > v->confirmed_us)
+	s->agreed_us = started_us;
+	s->agreed_term = v->term;
+	if (word_counts(s, now_us) && started_us > v->confirmed_us)
 		v->confirmed_us = started_us;
 }
 
@@ -190,7 +260,7 @@
 		return;
 	sample = newest_covered(v, p);
 	s->lag_us = sample ? now_us - MIN(sample->us, now_us) : NEVER_US;
-	if (s->status.held <= v->term)
+	if (s->status.held <= v->term && !s->doubted_us)
 		note_unpaused(v, p);
 }
 
--- a/packages/relay/src/listed.c
+++ b/packages/relay/src/listed.c
@@ -14,6 +14,7 @@
 	if (v)
 		return v;
 	v = rservice_create(r, name);
+	v->configured = r->catalog && relay_catalog_service(r->catalog, name);
 	g_hash_table_insert(r->services, v->name, v);
 	return v;
 }
@@ -137,6 +138,8 @@
 		struct rserver *s =
 			g_hash_table_lookup(r->servers, infos[i].id);
 
+		if (!s && infos[i].unusable)
+			continue;
 		if (s)
 			rsv_update(s, &infos[i], now_us);
 		else
--- a/packages/relay/src/relay.c
+++ b/packages/relay/src/relay.c
@@ -145,12 +145,30 @@
 	log_event_end(l);
 }
 
+/* Takes over what the configuration says of services. */
+static void configure_services(struct relay *r)
+{
+	GHashTableIter iter;
+	gpointer value;
+	unsigned i;
+
+	g_hash_table_iter_init(&iter, r->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		((struct rservice *)value)->configured = false;
+	for (i = 0; i < relay_catalog_services(r->catalog); i++) {
+		const struct relay_service_conf *conf =
+			relay_catalog_service_at(r->catalog, i);
+		struct rservice *v = rls_service(r, conf->name);
+
+		v->configured = true;
+		v->max_connections = conf->max_connections;
+	}
+}
+
 /* A version of the configuration; one that is older is left aside. */
 void relay_on_catalog(struct relay *r, struct relay_catalog *catalog,
 		      uint64_t now_us)
 {
-	unsigned i;
-
 	/*
 	 * Failure: the store's answers come late or from a copy that trails,
 	 * and callers are served by rules that the operators have replaced.
@@ -163,13 +181,7 @@
 	log_config("config", r, catalog);
 	relay_catalog_unref(r->catalog);
 	r->catalog = relay_catalog_ref(catalog);
-	for (i = 0; i < relay_catalog_services(catalog); i++) {
-		const struct relay_service_conf *conf =
-			relay_catalog_service_at(catalog, i);
-
-		rls_service(r, conf->name)->max_connections =
-			conf->max_connections;
-	}
+	configure_services(r);
 	rpr_on_catalog(r, now_us);
 	rrun_dispatch(r, now_us);
 }
--- a/packages/relay/src/relay_internal.h
+++ b/packages/relay/src/relay_internal.h
@@ -50,6 +50,7 @@
 	enum rstep step;
 	char *step_key; /* the name being set, or what is being prepared */
 	char *step_value; /* its value, or its name at the server */
+	uint64_t opened_us;
 	uint64_t sent_us;
 	uint64_t deadline_us; /* of the step in flight */
 	uint64_t used_us;
@@ -105,6 +106,10 @@
 	struct relay_status status;
 	uint64_t status_us; /* start of the probe that gave it, 0: none */
 	uint64_t heard_us;
+	uint64_t broke_us; /* a connection broke then, 0: all is known */
+	uint64_t doubted_us; /* it may have started anew then, 0: no; lead.c */
+	uint64_t agreed_us; /* it knew of no term above agreed_term then */
+	uint64_t agreed_term;
 	uint64_t failing_us; /* since when probes fail, 0: they don't */
 	uint64_t probed_us; /* the last probe was sent then */
 	uint64_t latency_us; /* smoothed, of callers' statements */
@@ -139,6 +144,7 @@
 	char *name;
 	bool peers; /* its servers are proxies, its name is a database's */
 	bool is_home; /* this proxy connects to its servers */
+	bool configured; /* the configuration in force has it */
 	bool alive_elsewhere; /* others reach a primary that fails here */
 	bool act_armed;
 	bool stepped_down; /* the old primary said so */
@@ -263,6 +269,7 @@
 	bool resume_under_duty; /* no pause of a running change is ended */
 	bool avoid_outliers; /* servers that fail in part cost more */
 	bool limit_in_flight; /* what would queue at a server waits here */
+	bool doubt_reborn; /* what a server knew before its start is gone */
 };
 
 struct relay {
@@ -346,6 +353,11 @@
 void rsv_heard(struct rserver *s, const struct relay_answer *answer,
 	       uint64_t sent_us, uint64_t now_us);
 void rsv_failed(struct rserver *s, bool refused, uint64_t since_us);
+/* Whether it still is the process that it was; see server.c. */
+void rsv_conn_broke(struct rserver *s, uint64_t now_us);
+void rsv_conn_answered(struct rserver *s, const struct rconn *c,
+		       uint64_t sent_us);
+void rsv_conn_opened(struct rserver *s, uint64_t now_us);
 void rsv_probe_soon(struct rserver *s);
 void rsv_order(struct rserver *s, enum relay_verb verb, uint64_t term);
 void rsv_order_again(struct rserver *s, enum relay_verb verb, uint64_t term,
@@ -369,6 +381,9 @@
 void rcn_lend(struct rconn *c, struct rsession *session);
 void rcn_give_back(struct rconn *c, uint64_t now_us);
 void rcn_roll_back(struct rconn *c, struct str id, uint64_t now_us);
+void rcn_close_idle(struct rserver *s);
+/* Whether this proxy is to have connections to the server at all. */
+bool rcn_is_ours(const struct rserver *s);
 void rcn_tick(struct rserver *s, uint64_t now_us);
 void rcn_expire(struct relay *r, uint64_t now_us);
 
@@ -450,6 +465,7 @@
 void rld_on_status(struct rserver *s, uint64_t started_us, uint64_t now_us);
 void rld_on_position(struct rserver *s, struct position p, uint64_t sent_us);
 void rld_ask(struct rservice *v);
+void rld_on_doubt(struct rserver *s, uint64_t now_us);
 bool rld_wants(const struct rservice *v, uint64_t now_us);
 void rld_on_applied(struct rserver *s, struct position p, uint64_t now_us);
 void rld_on_read_only(struct rserver *s, uint64_t now_us);
@@ -470,6 +486,7 @@
 void rch_on_claimed(struct relay *r, enum relay_claim outcome, uint64_t now_us);
 void rch_on_promoted(struct rservice *v, bool accepted, uint64_t now_us);
 void rch_on_status(struct rserver *s, uint64_t now_us);
+void rch_on_doubt(struct rserver *s, uint64_t now_us);
 bool rch_is_running(const struct rservice *v);
 const char *rch_phase_name(enum rphase phase);
 uint64_t rch_expected_us(const struct rservice *v);
--- a/packages/relay/src/server.c
+++ b/packages/relay/src/server.c
@@ -62,20 +62,96 @@
 	g_free(s);
 }
 
-/* The list names it anew; an address that changed is another process. */
+/*
+ * Its answers so far need not hold any more.
+ *
+ * Failure: a server starts anew under the id that it had. It knows of no
+ * pause, no step-down and no higher term, and what this proxy believes of it
+ * is of another process; lead.c and change.c say what callers would see.
+ * Guard: a connection ends with its process. So after one broke, the next that
+ * opens may lead to another process, unless an older one has answered since.
+ */
+static void doubt(struct rserver *s, uint64_t now_us)
+{
+	s->broke_us = 0;
+	if (s->service->peers || !s->relay->guards.doubt_reborn)
+		return;
+	s->status.held = 0;
+	rld_on_doubt(s, now_us);
+	rch_on_doubt(s, now_us);
+}
+
+/* A connection was lost, or is given up as silent. */
+void rsv_conn_broke(struct rserver *s, uint64_t now_us)
+{
+	s->broke_us = now_us;
+}
+
+/* An answer came to what was sent at sent_us. */
+void rsv_conn_answered(struct rserver *s, const struct rconn *c,
+		       uint64_t sent_us)
+{
+	if (c->opened_us < s->broke_us && sent_us > s->broke_us)
+		s->broke_us = 0;
+}
+
+/* A new connection stands. */
+void rsv_conn_opened(struct rserver *s, uint64_t now_us)
+{
+	if (s->broke_us)
+		doubt(s, now_us);
+}
+
+/*
+ * Its id belongs to another process now. Connections with a statement in
+ * flight are left to their end: they may be the new process's already.
+ */
+static void start_anew(struct rserver *s, uint64_t now_us)
+{
+	rlg_server_event(s, "server-reborn");
+	rcn_close_idle(s);
+	s->refused = s->moved = s->order_wanted = false;
+	s->refused_until_us = s->open_after_us = 0;
+	s->applied = (struct position){ 0 };
+	s->lagging_us = 0;
+	s->lag_us = NEVER_US;
+	s->status = (struct relay_status){ 0 };
+	s->status_us = s->heard_us = s->failing_us = 0;
+	s->held_seen = 0;
+	s->latency_us = LATENCY_FIRST_US;
+	s->outlier = (struct routlier){ 0 };
+	s->limit = (struct rclimit){ 0 };
+	doubt(s, now_us);
+	rsv_probe_soon(s);
+}
+
+/* The list names it anew, or its entry can't be read any more. */
 void rsv_update(struct rserver *s, const struct relay_server_info *info,
 		uint64_t now_us)
 {
 	struct relay_server_info old = s->info;
+	bool was_listed = s->listed;
 
+	/*
+	 * Failure: news of the process that had the id before comes late, and
+	 * its successor is taken for one that leaves.
+	 */
+	if (info->born_ms && info->born_ms < old.born_ms)
+		return;
+	if (old.born_ms && info->born_ms > old.born_ms &&
+	    s->relay->guards.doubt_reborn)
+		start_anew(s, now_us);
 	if (info->leaving && !old.leaving)
 		s->leaving_us = now_us;
 	if (info->role != old.role || info->leaving != old.leaving)
 		rsv_probe_soon(s);
 	info_copy(&s->info, info);
 	info_clear(&old);
-	s->listed = true;
-	s->unlisted_us = 0;
+	s->listed = !info->unusable;
+	if (s->listed)
+		s->unlisted_us = 0;
+	else if (was_listed)
+		s->unlisted_us = now_us;
 }
 
 /* Whether it answered the last thing that it was asked. */
@@ -87,7 +163,7 @@
 /* Whether it may get new transactions. */
 bool rsv_takes_work(const struct rserver *s, uint64_t now_us)
 {
-	if (s->info.leaving || s->moved)
+	if (s->info.leaving || s->moved || s->info.unusable)
 		return false;
 	if (s->service->peers)
 		return s->listed;
@@ -291,7 +367,7 @@
 	struct rconn *c;
 
 	rcn_tick(s, now_us);
-	if (!s->service->peers && !s->service->is_home)
+	if (!rcn_is_ours(s))
 		return;
 	if (!rsv_is_wanted(s, now_us) || s->probing ||
 	    (!s->order_wanted && !probe_is_due(s, now_us)))
--- a/packages/relay/tests/support_group.h
+++ b/packages/relay/tests/support_group.h
@@ -28,6 +28,7 @@
 	bool dead;
 	bool unlisted;
 	bool deaf; /* towards the store: it hears of no claim, and has none */
+	bool list_held; /* the list of servers doesn't reach it */
 };
 
 struct fake_server {
@@ -39,6 +40,8 @@
 	bool dark; /* silent towards all */
 	bool leaving;
 	bool listed;
+	bool led; /* its term; it forgets a step-down when it starts anew */
+	uint64_t born_ms;
 	enum server_role role;
 	uint64_t term;
 	uint64_t held;
@@ -137,6 +140,8 @@
 struct fake_server *fake_primary(struct fake *f, unsigned group);
 void fake_crash(struct fake *f, unsigned server);
 void fake_restart(struct fake *f, unsigned server);
+/* Its process ends and starts anew at once, under the id that it had. */
+void fake_reborn(struct fake *f, unsigned server, bool keeps_log);
 void fake_cut(struct fake *f, unsigned relay, unsigned server, bool cut);
 void fake_freeze(struct fake *f, unsigned relay, uint64_t us);
 void fake_list(struct fake *f);
--- a/packages/relay/tests/support_platform.c
+++ b/packages/relay/tests/support_platform.c
@@ -12,6 +12,7 @@
 #define UNLIST_US (3 * USEC_PER_SEC)
 #define CALL_LIMIT_US (400 * MS)
 #define DROP_US (3 * USEC_PER_SEC)
+#define REBORN_US (20 * MS)
 
 struct call {
 	unsigned relay;
@@ -55,6 +56,7 @@
 	s->applied = MIN(s->applied, n);
 	s->term = p->term;
 	s->role = ROLE_REPLICA;
+	s->led = false;
 	s->reaches_us = 0;
 }
 
@@ -147,6 +149,7 @@
 		return;
 	s->applied = s->log->len;
 	s->role = ROLE_PRIMARY;
+	s->led = true;
 	s->term = ++f->top_term[s->group];
 	s->held = 0;
 	f->n_promotions++;
@@ -283,16 +286,19 @@
 
 		if (!s->listed)
 			continue;
-		infos[n++] = (struct relay_server_info){ .id = s->id,
-							 .service = s->service,
-							 .host = "10.0.0.1",
-							 .port = 1,
-							 .zone = "a",
-							 .leaving = s->leaving,
-							 .role = s->role,
-							 .slots = FAKE_SLOTS };
+		infos[n++] =
+			(struct relay_server_info){ .id = s->id,
+						    .service = s->service,
+						    .host = "10.0.0.1",
+						    .port = 1,
+						    .zone = "a",
+						    .leaving = s->leaving,
+						    .role = s->role,
+						    .slots = FAKE_SLOTS,
+						    .born_ms = s->born_ms };
 	}
-	relay_on_servers(r->relay, infos, n, f->now_us);
+	if (!r->list_held)
+		relay_on_servers(r->relay, infos, n, f->now_us);
 	for (i = n = 0; i < f->n_relays; i++)
 		if (!f->relays[i].unlisted)
 			infos[n++] = (struct relay_server_info){
@@ -369,6 +375,32 @@
 	fake_list(f);
 }
 
+static void reborn_event(struct fake *f, void *data)
+{
+	struct fake_server *s = data;
+
+	s->born_ms++;
+	if (s->led)
+		s->role = ROLE_PRIMARY;
+	fake_restart(f, s->index);
+}
+
+/*
+ * A pause and a step-down are forgotten; its log is there, or is not. It leads
+ * the term that it led, unless another was promoted meanwhile.
+ */
+void fake_reborn(struct fake *f, unsigned server, bool keeps_log)
+{
+	struct fake_server *s = &f->servers[server];
+
+	fake_crash(f, server);
+	if (!keeps_log) {
+		g_array_set_size(s->log, 0);
+		s->applied = 0;
+	}
+	fake_at(f, -1, REBORN_US, reborn_event, s, NULL);
+}
+
 /* Nothing passes between the two; what is sent breaks its connection. */
 void fake_cut(struct fake *f, unsigned relay, unsigned server, bool cut)
 {
@@ -473,6 +505,8 @@
 	g_snprintf(s->service, sizeof(s->service), "group%u", s->group);
 	s->listed = true;
 	s->role = index % GROUP_SIZE ? ROLE_REPLICA : ROLE_PRIMARY;
+	s->led = s->role == ROLE_PRIMARY;
+	s->born_ms = 1;
 	s->term = 1;
 	s->lag_us = 5 * MS;
 	s->log = g_array_new(FALSE, FALSE, sizeof(unsigned));
--- /dev/null
+++ b/packages/relay/tests/test_reborn.c
@@ -0,0 +1,223 @@
+#include "support_history.h"
+
+#include <celeryquay/suite.h>
+
+#define SEEDS 40
+#define N_RELAYS 3
+
+static struct hist_session *callers[N_RELAYS];
+
+static void next_event(struct fake *f, void *data)
+{
+	struct hist_session *s = data;
+
+	if (s->open && s->state != 'I')
+		hist_start(f, s, RELAY_ROLLBACK, "", "");
+	else if (s->open)
+		hist_start(f, s, fake_chance(f, 0.5) ? RELAY_WRITE : RELAY_READ,
+			   "", "1");
+}
+
+/* Three proxies with a caller each that writes and reads all the while. */
+static struct fake *start(uint32_t seed, bool guard)
+{
+	struct fake *f = fake_create(seed, N_RELAYS, 1);
+	unsigned i;
+
+	for (i = 0; i < N_RELAYS; i++)
+		relay_guards_of(f->relays[i].relay)->doubt_reborn = guard;
+	fake_run(f, USEC_PER_SEC);
+	for (i = 0; i < N_RELAYS; i++) {
+		callers[i] = hist_open(f, i, 0, RELAY_KIND_PRIMARY);
+		callers[i]->next = next_event;
+		next_event(f, callers[i]);
+	}
+	fake_run(f, USEC_PER_SEC);
+	return f;
+}
+
+/* What was wrong until a while after all has healed. */
+static char *end(struct fake *f)
+{
+	unsigned acked;
+	char *wrong;
+
+	f->relays[1].list_held = false;
+	fake_heal(f);
+	fake_run(f, 8 * USEC_PER_SEC);
+	acked = hist_acknowledged(f);
+	fake_run(f, USEC_PER_SEC);
+	wrong = g_strdup(hist_check(f));
+	if (!*wrong && hist_acknowledged(f) < acked + 50) {
+		g_free(wrong);
+		wrong = g_strdup("nothing is stored any more");
+	}
+	fake_destroy(f);
+	return wrong;
+}
+
+static bool any_relay_in(const struct fake *f, enum rphase phase)
+{
+	unsigned i;
+
+	for (i = 0; i < f->n_relays; i++) {
+		const struct rservice *v = g_hash_table_lookup(
+			f->relays[i].relay->services, "group0");
+
+		if (v->phase == phase)
+			return true;
+	}
+	return false;
+}
+
+static void run_until(struct fake *f, enum rphase phase)
+{
+	uint64_t limit_us = f->now_us + 20 * USEC_PER_SEC;
+
+	while (!any_relay_in(f, phase) && f->now_us < limit_us)
+		fake_run(f, MS);
+}
+
+static const enum rphase phases[] = { PHASE_FENCE, PHASE_HOLD, PHASE_PROMOTE,
+				      PHASE_SETTLE };
+
+/*
+ * The primary is cut off from two proxies of three, which replace it; one
+ * replica starts again in the middle of that. The third proxy may hear of it
+ * from the list, or only by connections that end.
+ */
+static char *replica_in_a_change(uint32_t seed, bool guard)
+{
+	struct fake *f = start(seed, guard);
+
+	f->promote_us = 300 * MS + seed % 5 * 100 * MS;
+	fake_cut(f, 0, 0, true);
+	fake_cut(f, 2, 0, true);
+	run_until(f, phases[seed % G_N_ELEMENTS(phases)]);
+	fake_run(f, fake_random(f, 0, 200) * MS);
+	f->relays[1].list_held = seed / 8 % 2;
+	fake_reborn(f, 1 + seed / 4 % 2, true);
+	fake_run(f, 4 * USEC_PER_SEC);
+	return end(f);
+}
+
+/* The primary steps down as planned, and starts again in the middle of it. */
+static char *primary_in_a_planned_change(uint32_t seed, bool guard)
+{
+	struct fake *f = start(seed, guard);
+
+	f->promote_us = 300 * MS + seed % 5 * 100 * MS;
+	f->servers[1].lag_us = f->servers[2].lag_us = 100 * MS;
+	f->servers[0].leaving = true;
+	fake_list(f);
+	while (f->servers[0].role == ROLE_PRIMARY)
+		fake_run(f, MS);
+	fake_run(f, fake_random(f, 0, 400) * MS);
+	fake_reborn(f, 0, true);
+	fake_run(f, 4 * USEC_PER_SEC);
+	return end(f);
+}
+
+/* A primary comes back at once, with nothing of what it had. */
+static char *primary_without_its_log(uint32_t seed, bool guard)
+{
+	struct fake *f = start(seed, guard);
+
+	f->servers[1].lag_us = f->servers[2].lag_us = 10 * MS;
+	fake_run(f, fake_random(f, 0, 400) * MS);
+	fake_reborn(f, 0, false);
+	fake_run(f, 8 * USEC_PER_SEC);
+	return end(f);
+}
+
+typedef char *(*story_fn)(uint32_t seed, bool guard);
+
+static void check_promises(story_fn story)
+{
+	uint32_t seed;
+
+	for (seed = 0; seed < SEEDS; seed++) {
+		char *wrong = story(seed, true);
+
+		ck_assert_msg(!*wrong, "seed %u: %s", seed, wrong);
+		g_free(wrong);
+	}
+}
+
+static void check_is_noticed(story_fn story)
+{
+	unsigned n = 0;
+	uint32_t seed;
+
+	for (seed = 0; seed < SEEDS; seed++) {
+		char *wrong = story(seed, false);
+
+		n += *wrong != 0;
+		g_free(wrong);
+	}
+	ck_assert_uint_gt(n, 0);
+}
+
+/*
+ * A proxy still reaches a primary that two others replace. A replica that was
+ * paused for that starts again under its id and knows of no pause; it went on
+ * confirming the old primary, and a plumber's trip that was stored there was
+ * gone with the promotion.
+ */
+START_TEST(test_a_pause_that_is_forgotten)
+{
+	check_promises(replica_in_a_change);
+}
+END_TEST
+
+START_TEST(test_a_forgotten_pause_is_noticed)
+{
+	check_is_noticed(replica_in_a_change);
+}
+END_TEST
+
+/*
+ * A primary has stepped down for a planned move and starts again before the
+ * promotion takes effect. It leads once more, its replicas confirm it, and
+ * what it stores for a moment is thrown away.
+ */
+START_TEST(test_a_step_down_that_is_forgotten)
+{
+	check_promises(primary_in_a_planned_change);
+}
+END_TEST
+
+START_TEST(test_a_forgotten_step_down_is_noticed)
+{
+	check_is_noticed(primary_in_a_planned_change);
+}
+END_TEST
+
+/*
+ * A primary starts again without its log and leads an empty one in the same
+ * term. Members saw none of their trips there, though both replicas had them.
+ */
+START_TEST(test_an_empty_log_is_not_fresh)
+{
+	check_promises(primary_without_its_log);
+}
+END_TEST
+
+START_TEST(test_an_empty_log_is_noticed)
+{
+	check_is_noticed(primary_without_its_log);
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tc = tcase_create("reborn");
+
+	tcase_add_test(tc, test_a_pause_that_is_forgotten);
+	tcase_add_test(tc, test_a_forgotten_pause_is_noticed);
+	tcase_add_test(tc, test_a_step_down_that_is_forgotten);
+	tcase_add_test(tc, test_a_forgotten_step_down_is_noticed);
+	tcase_add_test(tc, test_an_empty_log_is_not_fresh);
+	tcase_add_test(tc, test_an_empty_log_is_noticed);
+	return suite_main("reborn", tc);
+}
