platform: an entry that can't be read names no server

Cause: a missing zone was taken as "", an unknown state or role as ready, and capacity, version, seq and the start of the process were not asked for; an entry that turned bad left the server in use. Ruled out: keeping the last good entry, which a foreign writer could then hold in use for ever; treating it as lapsed, which gives it work for 5.5 s more.

--- a/packages/cli/src/explain.c
+++ b/packages/cli/src/explain.c
@@ -37,6 +37,7 @@
 	{ "server-listed", "list", "server" },
 	{ "server-unlisted", "list", "server" },
 	{ "server-gone", "list", "server" },
+	{ "server-reborn", "list", "server" },
 	{ "server-lost", "server", "server" },
 	{ "server-back", "server", "server" },
 	{ "proxy-lost", "proxy", "proxy" }, /* of one database each */
--- a/packages/relay/include/celeryquay/relay/server_list.h
+++ b/packages/relay/include/celeryquay/relay/server_list.h
@@ -18,6 +18,8 @@
 void relay_server_list_put(struct relay_server_list *l, const char *key,
 			   struct relay_server_info *info);
 void relay_server_list_remove(struct relay_server_list *l, const char *key);
+/* What the key has now names nobody: who was there is not to be used. */
+void relay_server_list_withdraw(struct relay_server_list *l, const char *key);
 /* Passes the list on if it was changed. */
 void relay_server_list_pass(struct relay_server_list *l, struct relay *r,
 			    relay_list_fn pass, uint64_t now_us);
--- a/packages/relay/src/server_list.c
+++ b/packages/relay/src/server_list.c
@@ -54,6 +54,21 @@
 		l->changed = true;
 }
 
+/*
+ * Failure: the entry of a server that is in use is overwritten with something
+ * that can't be read. Guard: it gets no new work until it has written its own
+ * again; what runs there ends as it does.
+ */
+void relay_server_list_withdraw(struct relay_server_list *l, const char *key)
+{
+	struct relay_server_info *info = g_hash_table_lookup(l->infos, key);
+
+	if (!info)
+		return;
+	info->unusable = true;
+	l->changed = true;
+}
+
 /* Several changes make one call. */
 void relay_server_list_pass(struct relay_server_list *l, struct relay *r,
 			    relay_list_fn pass, uint64_t now_us)
--- a/packages/relay/tests/test_routing.c
+++ b/packages/relay/tests/test_routing.c
@@ -1,5 +1,6 @@
 #include "support_history.h"
 
+#include <celeryquay/relay/server_list.h>
 #include <celeryquay/suite.h>
 #include <string.h>
 
@@ -276,10 +277,90 @@
 }
 END_TEST
 
+/* The list as it is, with one server's entry overwritten by another writer. */
+static void list_with_a_bad_entry(struct fake *f, unsigned bad)
+{
+	struct relay_server_list *list = relay_server_list_create();
+	unsigned i;
+
+	for (i = 0; i < GROUP_SIZE; i++) {
+		const struct fake_server *s = &f->servers[i];
+		struct relay_server_info *info =
+			g_new0(struct relay_server_info, 1);
+
+		info->id = g_strdup(s->id);
+		info->service = g_strdup(s->service);
+		info->host = g_strdup("10.0.0.1");
+		info->zone = g_strdup("a");
+		info->port = 1;
+		info->slots = FAKE_SLOTS;
+		info->role = s->role;
+		relay_server_list_put(list, s->id, info);
+	}
+	if (bad < GROUP_SIZE)
+		relay_server_list_withdraw(list, f->servers[bad].id);
+	relay_server_list_withdraw(list, "nobody");
+	relay_server_list_pass(list, f->relays[0].relay, relay_on_servers,
+			       f->now_us);
+	relay_server_list_destroy(list);
+}
+
+/*
+ * A replica's entry is overwritten with what no server writes. It went on
+ * getting reads for five seconds, as one whose entry had only lapsed; it must
+ * get none until its own entry is back, and the others serve meanwhile.
+ */
+START_TEST(test_a_server_whose_entry_turned_bad)
+{
+	struct fake *f = start();
+	unsigned ran;
+
+	ck_assert_uint_gt(reads_at_replicas(f, RELAY_KIND_BOUNDED), 20);
+	list_with_a_bad_entry(f, 1);
+	ran = f->servers[1].n_ran;
+	ck_assert_uint_gt(reads_at_replicas(f, RELAY_KIND_BOUNDED), 20);
+	ck_assert_uint_eq(f->servers[1].n_ran, ran);
+	fake_run(f, 6 * USEC_PER_SEC);
+	list_with_a_bad_entry(f, 1);
+	list_with_a_bad_entry(f, GROUP_SIZE);
+	f->servers[2].lag_us = 5 * USEC_PER_SEC;
+	fake_run(f, USEC_PER_SEC);
+	ck_assert_uint_gt(reads_at_replicas(f, RELAY_KIND_BOUNDED), 20);
+	ck_assert_uint_gt(f->servers[1].n_ran, ran + 20);
+	end(f);
+}
+END_TEST
+
+/* A server of a service that no configuration names is never called. */
+START_TEST(test_a_service_that_is_not_configured)
+{
+	struct fake *f = start();
+	struct relay_server_info info = { .id = f->servers[1].id,
+					  .service = "unheard-of",
+					  .host = "10.0.0.1",
+					  .port = 1,
+					  .zone = "a",
+					  .slots = 1 };
+	struct relay *r = f->relays[0].relay;
+	unsigned n;
+
+	relay_on_servers(r, NULL, 0, f->now_us);
+	fake_run(f, 7 * USEC_PER_SEC);
+	n = g_hash_table_size(r->conns);
+	relay_on_servers(r, &info, 1, f->now_us);
+	fake_run(f, USEC_PER_SEC);
+	ck_assert_uint_eq(g_hash_table_size(r->conns), n);
+	ck_assert_uint_eq(n, 0);
+	end(f);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("routing");
 
+	tcase_add_test(tc, test_a_server_whose_entry_turned_bad);
+	tcase_add_test(tc, test_a_service_that_is_not_configured);
 	tcase_add_test(tc, test_kind_decides_where_reads_run);
 	tcase_add_test(tc, test_own_writes_are_seen_with_lag);
 	tcase_add_test(tc, test_stale_replicas_are_passed_over);
--- a/tests/soak/group.c
+++ b/tests/soak/group.c
@@ -57,7 +57,7 @@
 	char *key = g_strconcat("servers/", s->id, NULL);
 	char *value = g_strdup_printf(
 		"{\"service\":\"group%u\",\"address\":\"127.0.0.1:%u\","
-		"\"zone\":\"a\",\"version\":1,\"capacity\":%u,"
+		"\"zone\":\"a\",\"version\":\"1\",\"capacity\":%u,"
 		"\"state\":\"%s\",\"coldRemainingMs\":0,\"seq\":1,"
 		"\"dbRole\":\"%s\"}",
 		s->group, s->port, SLOTS, s->leaving ? "draining" : "ready",
