transport: a statement that is there is answered before a session is hung up

Cause: a session that a stopping proxy ends is judged at rest by the clock. On a slow machine the caller's next statement lies unread in the socket meanwhile; it was read after the hang-up and thrown away. Seen once at 300 proxies: sent 1.33 s after SIGTERM, its connection closed 0.41 s later without an answer. Ruled out: counting unread bytes (the statement may be in the kernel or in the loop's turn); a longer rest, which only moves the bound. Change: the hang-up waits for two turns of the loop, in which the sockets are read; a statement takes it back and the relay decides anew after its answer. Measured: the test hung for its 60 s before, passes now.

--- a/packages/relay/src/session.c
+++ b/packages/relay/src/session.c
@@ -301,6 +301,7 @@
 	if (!s || rrun_is_active(s))
 		return;
 	s->used_us = now_us;
+	s->hung_up = false; /* it came before its caller heard of that */
 	rrun_note(s, statement, now_us);
 	if (!take_peer_part(s, statement))
 		rss_answer(s, RELAY_MALFORMED, "not a caller's statement");
--- a/packages/transport/src/session_front.c
+++ b/packages/transport/src/session_front.c
@@ -10,6 +10,11 @@
 #define KEEPALIVE_S 10
 /* How long a connection that was hung up may take to end. */
 #define LINGER_MS 2000
+/*
+ * Turns of the loop before a session at rest is hung up: in the first the
+ * sockets are read, and the second comes after that.
+ */
+#define HANG_UP_TURNS 2
 
 struct session_front {
 	struct session_group group;
@@ -29,6 +34,8 @@
 	bool stopped_reading;
 	bool failed; /* to be dropped outside of any call */
 	bool hung_up;
+	unsigned
+		hang_up_in; /* turns, unless a statement comes; 0: not at all */
 	char state;
 };
 
@@ -166,6 +173,7 @@
 		take_startup(caller, message);
 	} else if (codec_of(caller)->parse_statement(message, &statement)) {
 		caller->in_flight = true;
+		caller->hang_up_in = 0;
 		g->setup.host->session_statement(session_group_relay(g),
 						 caller->link.number,
 						 &statement,
@@ -283,12 +291,23 @@
 	pace(caller);
 }
 
+/* One turn less until the session is hung up. */
+static void hang_up_soon(struct caller *caller)
+{
+	if (--caller->hang_up_in)
+		session_link_go_on_later(&caller->link);
+	else
+		hang_up(caller);
+}
+
 static void go_on(struct session_link *link)
 {
 	struct caller *caller = (struct caller *)link;
 
 	if (caller->failed)
 		drop(link);
+	else if (caller->hang_up_in)
+		hang_up_soon(caller);
 	else if (caller->pending && !caller->hung_up)
 		process_pending(caller);
 	pace(caller);
@@ -367,13 +386,26 @@
 		session_link_go_on_later(&caller->link);
 }
 
-/* Closes the session's connection once what was answered is out. */
+/*
+ * Closes the session's connection once what was answered is out.
+ *
+ * Failure: a proxy is slow, and a caller's next statement lies unread in the
+ * socket for as long. It is read after the hang-up and thrown away: a request
+ * that ends without an answer. Guard: the sockets are read once more first,
+ * and a statement that is there is answered; the relay then decides anew.
+ */
 void session_front_hang_up(void *ctx, uint64_t session)
 {
 	struct caller *caller = find(ctx, session);
 
-	if (caller)
+	if (!caller || caller->in_flight || caller->hang_up_in)
+		return;
+	if (has_pending(caller)) {
 		hang_up(caller);
+		return;
+	}
+	caller->hang_up_in = HANG_UP_TURNS;
+	session_link_go_on_later(&caller->link);
 }
 
 /* New connections are refused from now on. */
--- a/packages/transport/tests/test_session.c
+++ b/packages/transport/tests/test_session.c
@@ -369,6 +369,38 @@
 }
 END_TEST
 
+static bool has_second_statement(void *ctx)
+{
+	(void)ctx;
+	return rig.statements > 1;
+}
+
+/*
+ * A proxy that stops ends sessions at rest. It is slow, so that a member's
+ * next trip lies unread in the socket when the session is hung up; the trip
+ * was read and thrown away, and its connection ended without an answer.
+ */
+START_TEST(test_a_statement_that_is_there_is_answered_first)
+{
+	char *rows, *text = g_strnfill(STATEMENT_BYTES, 's');
+	struct relay_statement statement = { .text = str_from_c(text) };
+
+	open_conn();
+	send_statements(1);
+	check_answer(answer_long());
+	g_string_truncate(rig.answer, 0);
+	session_upstream_send(&rig, CONN, &statement);
+	session_front_hang_up(&rig, rig.session);
+	loop_until(&rig.loop, has_second_statement, NULL);
+	rows = answer_long();
+	session_front_hang_up(&rig, rig.session);
+	check_answer(rows);
+	loop_until(&rig.loop, has_ended, NULL);
+	ck_assert_uint_eq(rig.statements, 2);
+	g_free(text);
+}
+END_TEST
+
 static bool is_lost(void *ctx)
 {
 	(void)ctx;
@@ -396,6 +428,7 @@
 	tcase_add_checked_fixture(t, setup, teardown);
 	tcase_add_test(t, test_a_long_answer_arrives_whole);
 	tcase_add_test(t, test_a_hang_up_with_unread_bytes_cuts_no_answer);
+	tcase_add_test(t, test_a_statement_that_is_there_is_answered_first);
 	tcase_add_test(t, test_a_refused_connection_is_told_as_such);
 	return suite_main("session", t);
 }
