relay: callers leave a proxy on the wrong side of a partition

Change: store silent, a primary wanted in vain for 1 s and another proxy out of reach: not ready, and a session ends right after a refusal.

--- a/packages/relay/src/pick.c
+++ b/packages/relay/src/pick.c
@@ -187,8 +187,8 @@
 }
 
 /* Since when the primary is wanted in vain; a long rest counts for nothing. */
-static void note_primary_use(struct rservice *v, uint64_t wanted_us,
-			     uint64_t now_us)
+void rpk_note_primary_use(struct rservice *v, uint64_t wanted_us,
+			  uint64_t now_us)
 {
 	if (v->primary && primary_may_run(v->primary, now_us)) {
 		v->usable_us = now_us;
@@ -240,7 +240,7 @@
 		rvi_choose(s, profile, v, out, now_us);
 		return;
 	}
-	note_primary_use(v, v->wanted_us, now_us);
+	rpk_note_primary_use(v, v->wanted_us, now_us);
 	v->wanted_us = now_us;
 	out->server = choose_own(s, v, profile, out, now_us);
 	if (out->server)
--- a/packages/relay/src/relay.c
+++ b/packages/relay/src/relay.c
@@ -304,6 +304,7 @@
 	rcn_expire(r, now_us);
 	rpr_tick(r, now_us);
 	rvi_tick(r, now_us);
+	rco_tick(r, now_us);
 	rls_sweep(r, now_us);
 	g_hash_table_iter_init(&iter, r->servers);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
@@ -348,7 +349,8 @@
 	gpointer value;
 
 	if (!r->catalog || !r->listed || r->stopping ||
-	    rvi_is_isolated(r, r->ticked_us))
+	    rvi_is_isolated(r, r->ticked_us) ||
+	    rco_is_any_cut_off(r, r->ticked_us))
 		return false;
 	g_hash_table_iter_init(&iter, r->servers);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
--- a/packages/relay/src/relay_internal.h
+++ b/packages/relay/src/relay_internal.h
@@ -6,7 +6,8 @@
  * servers, rcn_ their connections, rss_ callers' sessions, rrun_ the statement
  * that a session has in flight, rpk_ which server runs it, rld_ who is
  * primary, rch_ its replacement, rdt_ the duty record, rtd_ what changes leave
- * behind, rpr_ other proxies, rvi_ homes that sessions go through, rol_ servers
+ * behind, rco_
+ * network partitions, rpr_ other proxies, rvi_ homes that sessions go through, rol_ servers
  * that fail in part, rcl_ limits of what is in flight at a server, rlg_ log
  * lines, rmt_ metrics.
  */
@@ -270,6 +271,7 @@
 	bool avoid_outliers; /* servers that fail in part cost more */
 	bool limit_in_flight; /* what would queue at a server waits here */
 	bool doubt_reborn; /* what a server knew before its start is gone */
+	bool leave_when_cut_off; /* callers go to proxies that can serve */
 };
 
 struct relay {
@@ -393,6 +395,7 @@
 void rss_tick(struct rsession *s, uint64_t now_us);
 void rss_end_if_stopping(struct rsession *s, uint64_t now_us);
 void rss_end_if_isolated(struct rsession *s, uint64_t now_us);
+void rss_end_if_cut_off(struct rsession *s, uint64_t now_us);
 void rss_answer(struct rsession *s, enum relay_code code, const char *text);
 /* The transaction is over without a commit; its connection is cleaned. */
 void rss_abort(struct rsession *s, uint64_t now_us);
@@ -428,6 +431,9 @@
 void rpk_consider(struct rserver *s, struct rserver **best, uint64_t *least,
 		  const struct rrun *run, uint64_t now_us);
 void rpk_take_conn(struct rsession *s, struct rpick *out, uint64_t now_us);
+/* Since when the primary is wanted in vain; a long rest counts for nothing. */
+void rpk_note_primary_use(struct rservice *v, uint64_t wanted_us,
+			  uint64_t now_us);
 void rpk_log_candidates(const struct rsession *s,
 			const struct relay_profile *profile, struct log_line *l,
 			uint64_t now_us);
@@ -449,6 +455,11 @@
 void rvi_choose(struct rsession *s, const struct relay_profile *profile,
 		struct rservice *v, struct rpick *out, uint64_t now_us);
 
+/* cutoff.c */
+bool rco_is_cut_off(const struct rservice *v, uint64_t now_us);
+bool rco_is_any_cut_off(const struct relay *r, uint64_t now_us);
+void rco_tick(struct relay *r, uint64_t now_us);
+
 /* outlier.c */
 uint64_t rol_cost_us(const struct routlier *o, uint64_t now_us);
 void rol_on_answer(struct routlier *o, enum relay_code code, uint64_t now_us);
--- a/packages/relay/src/run.c
+++ b/packages/relay/src/run.c
@@ -80,8 +80,10 @@
 	s->relay->ops->answer(s->relay->ctx, s->id, &out);
 	s->used_us = now_us;
 	rss_end_if_stopping(s, now_us);
-	if (from->code == RELAY_BUSY)
-		rss_end_if_isolated(s, now_us);
+	if (from->code != RELAY_BUSY)
+		return;
+	rss_end_if_isolated(s, now_us);
+	rss_end_if_cut_off(s, now_us);
 }
 
 /* Ends the run without success: a transaction fails with it. */
--- a/packages/relay/src/session.c
+++ b/packages/relay/src/session.c
@@ -385,6 +385,23 @@
 	r->ops->hang_up(r->ctx, s->id);
 }
 
+/* The same where one service's primary is beyond a partition; cutoff.c. */
+void rss_end_if_cut_off(struct rsession *s, uint64_t now_us)
+{
+	struct relay *r = s->relay;
+	const struct relay_profile *profile =
+		relay_catalog_profile(r->catalog, s->database);
+	const struct rservice *v;
+
+	if (s->peer || s->hung_up || s->state != 'I' || !profile)
+		return;
+	v = g_hash_table_lookup(r->services, profile->service);
+	if (!v || !rco_is_cut_off(v, now_us))
+		return;
+	s->hung_up = true;
+	r->ops->hang_up(r->ctx, s->id);
+}
+
 /* Ends what rests too long, and the session itself when the proxy stops. */
 void rss_tick(struct rsession *s, uint64_t now_us)
 {
--- a/packages/relay/tests/support_group.c
+++ b/packages/relay/tests/support_group.c
@@ -36,10 +36,16 @@
 	       g_array_index(s->log, unsigned, at - 1) == commit;
 }
 
+static bool is_parted(const struct fake *f, const struct fake_conn *c)
+{
+	return c->peer && f->side[c->relay] != f->side[c->peer->index];
+}
+
 static bool is_blocked(const struct fake *f, const struct fake_conn *c)
 {
-	return c->broken || (c->server && (c->server->dark ||
-					   f->cut[c->relay][c->server->index]));
+	return c->broken || is_parted(f, c) ||
+	       (c->server &&
+		(c->server->dark || f->cut[c->relay][c->server->index]));
 }
 
 static uint64_t key_of(unsigned relay, uint64_t conn)
@@ -397,12 +403,12 @@
 
 	if (!c)
 		return;
-	if (c->peer) {
+	if (c->peer && !is_parted(f, c)) {
 		open_peer(f, c);
 		return;
 	}
 	m = g_new0(struct message, 1);
-	if (c->server->dark || f->cut[c->relay][c->server->index]) {
+	if (c->peer || c->server->dark || f->cut[c->relay][c->server->index]) {
 		m->kind = M_LOST;
 		m->key = c->key;
 		fake_at(f, (int)c->relay, CONNECT_LIMIT_US, relay_event, m,
--- a/packages/relay/tests/support_group.h
+++ b/packages/relay/tests/support_group.h
@@ -100,6 +100,8 @@
 	struct fake_relay relays[MAX_RELAYS];
 	struct fake_server servers[MAX_SERVERS];
 	bool cut[MAX_RELAYS][MAX_RELAYS];
+	unsigned side[MAX_RELAYS]; /* relays of two sides don't reach each other
+				    */
 	GHashTable *conns; /* key -> struct fake_conn */
 	unsigned n_serials;
 	unsigned max_connections;
--- a/packages/relay/tests/support_platform.c
+++ b/packages/relay/tests/support_platform.c
@@ -419,6 +419,7 @@
 	unsigned i;
 
 	memset(f->cut, 0, sizeof(f->cut));
+	memset(f->side, 0, sizeof(f->side));
 	f->lose_answers = f->lose_claims = f->busy = 0;
 	for (i = 0; i < f->n_groups * GROUP_SIZE; i++) {
 		f->servers[i].dark = false;
--- a/packages/relay/tests/test_homes.c
+++ b/packages/relay/tests/test_homes.c
@@ -504,6 +504,84 @@
 }
 END_TEST
 
+/* Proxies 0 and 1 are left with the primary, 2 and 3 with its replicas. */
+static void split(struct fake *f)
+{
+	unsigned i;
+
+	for (i = 0; i < 2; i++) {
+		f->side[i] = 1;
+		fake_cut(f, i, 1, true);
+		fake_cut(f, i, 2, true);
+		fake_cut(f, i + 2, 0, true);
+		relay_on_store(f->relays[i].relay, false, f->now_us);
+	}
+}
+
+/* Writes in vain for so long, or until the session is ended. */
+static void write_in_vain(struct fake *f, struct hist_session *s, uint64_t us)
+{
+	uint64_t end_us = f->now_us + us;
+
+	while (s->open && f->now_us < end_us) {
+		hist_run(f, s, s->state == 'I' ? RELAY_WRITE : RELAY_ROLLBACK,
+			 "", "1");
+		fake_run(f, 50 * MS);
+	}
+}
+
+/*
+ * A partition leaves two proxies of four with a primary that they may not rely
+ * on, and without the store. Installers who came to them were refused, and
+ * stayed there with each retry, while the other two had codes for them.
+ */
+START_TEST(test_callers_leave_the_wrong_side_of_a_partition)
+{
+	struct fake *f = start((uint32_t)_i, 4);
+	struct hist_session *s = hist_open(f, 0, 0, RELAY_KIND_PRIMARY);
+	unsigned i;
+
+	ck_assert_int_eq(hist_run(f, s, RELAY_WRITE, "", "1"), RELAY_OK);
+	split(f);
+	write_in_vain(f, s, 4 * USEC_PER_SEC);
+	ck_assert(!s->open);
+	ck_assert(!relay_is_ready(f->relays[0].relay));
+	ck_assert(relay_is_ready(f->relays[2].relay));
+	fake_heal(f);
+	for (i = 0; i < 2; i++)
+		relay_on_store(f->relays[i].relay, true, f->now_us);
+	fake_run(f, 2 * USEC_PER_SEC);
+	ck_assert(relay_is_ready(f->relays[0].relay));
+	s = hist_open(f, 0, 0, RELAY_KIND_PRIMARY);
+	ck_assert_int_eq(hist_run(f, s, RELAY_WRITE, "", "1"), RELAY_OK);
+	end(f);
+}
+END_TEST
+
+/*
+ * The store is out, and a primary crashes meanwhile: nobody may replace it.
+ * If every proxy turned its callers away for that, the whole fleet would be
+ * without, though its other databases serve.
+ */
+START_TEST(test_no_proxy_leaves_for_an_outage_of_the_store)
+{
+	struct fake *f = start((uint32_t)_i, 4);
+	struct hist_session *s = hist_open(f, 0, 0, RELAY_KIND_PRIMARY);
+	unsigned i;
+
+	ck_assert_int_eq(hist_run(f, s, RELAY_WRITE, "", "1"), RELAY_OK);
+	f->lose_claims = 1;
+	for (i = 0; i < 4; i++)
+		relay_on_store(f->relays[i].relay, false, f->now_us);
+	fake_crash(f, 0);
+	write_in_vain(f, s, 2 * USEC_PER_SEC);
+	ck_assert(s->open);
+	for (i = 0; i < 4; i++)
+		ck_assert(relay_is_ready(f->relays[i].relay));
+	end(f);
+}
+END_TEST
+
 /*
  * The store was out for a while and the leases ran out. For a moment its list
  * names hardly any proxy, and each of seven took itself for one of few: all
@@ -545,6 +623,10 @@
 	tcase_add_loop_test(tc, test_an_isolated_proxy_turns_red, 0, 3);
 	tcase_add_loop_test(tc, test_homes_of_a_removed_database_are_left_alone,
 			    0, 3);
+	tcase_add_loop_test(
+		tc, test_callers_leave_the_wrong_side_of_a_partition, 0, 6);
+	tcase_add_loop_test(tc, test_no_proxy_leaves_for_an_outage_of_the_store,
+			    0, 6);
 	tcase_add_loop_test(tc, test_way_round_a_cut, 0, 6);
 	tcase_add_loop_test(tc, test_the_way_round_ends_in_time, 0, 6);
 	tcase_add_loop_test(tc, test_a_lapsed_list_makes_no_homes, 0, 3);
