relay: proxies next in rank stand in for homes that none reaches

Cause: four homes a service; a split leaves all of them on one side, and the proxies of the other side refuse its callers though its servers are in reach. Change: the four next in rank are spares. A proxy that reaches no home asks one of them, and a proxy that is asked becomes a home until 10 s after the last time. Claims, fences and leases are those of any home. A home that falls silent still costs each caller's statement its limit before the next is tried.

--- a/packages/relay/src/peer.c
+++ b/packages/relay/src/peer.c
@@ -23,6 +23,14 @@
  */
 #define HOMES_MOST 16
 #define HOMES_MAX 64
+/*
+ * Proxies next in rank to the homes, for those that reach none. Of a split
+ * that leaves a third of the proxies on one side, four more leave one service
+ * in 6,561 without any on that side; four homes alone, one in 81.
+ */
+#define SPARES 4
+/* A spare that nobody has asked for so long is none any more. */
+#define SPARE_US (10 * USEC_PER_SEC)
 #define PEERS_HELD_US (8 * USEC_PER_SEC)
 
 static bool is_self(const struct relay *r, const char *name)
@@ -44,7 +52,7 @@
 		     unsigned *order)
 {
 	struct database_conf conf = { .service = v->name, .name = v->name };
-	unsigned wanted = MIN(homes_wanted(v, n), HOMES_MAX);
+	unsigned wanted = MIN(homes_wanted(v, n) + SPARES, HOMES_MAX);
 
 	return homes_rank(&conf, candidates, n, order, wanted);
 }
@@ -81,34 +89,77 @@
 	log_event_end(l);
 }
 
+/* Nobody was looked for before; it can't be missing yet. */
+static void become_home(struct rservice *v)
+{
+	v->is_home = true;
+	v->no_primary_us = v->relay->ticked_us;
+	v->usable_us = 0;
+	log_home(v, v->relay->peers->len + 1);
+}
+
 /* Works out who the service's homes are. */
 static void rank_service(struct rservice *v)
 {
 	unsigned order[HOMES_MAX];
-	unsigned i, n, n_homes;
+	unsigned i, n, n_ranked, n_homes;
 	struct home_candidate *list = list_candidates(v->relay, &n);
-	bool was_home = v->is_home;
+	bool is_home;
 
-	n_homes = rank(v, list, n, order);
-	v->is_home = n > HOMES_MAX ? false : homes_wanted(v, n) == n;
+	n_ranked = rank(v, list, n, order);
+	n_homes = MIN(homes_wanted(v, n), n_ranked);
+	is_home = (n <= HOMES_MAX && homes_wanted(v, n) == n) ||
+		  (v->spare_us && v->relay->ticked_us < v->spare_us + SPARE_US);
 	g_ptr_array_set_size(v->homes, 0);
-	for (i = 0; i < n_homes; i++) {
+	g_ptr_array_set_size(v->spares, 0);
+	for (i = 0; i < n_ranked; i++) {
 		const char *name = list[order[i]].name;
 
-		if (is_self(v->relay, name))
-			v->is_home = true;
-		else
-			g_ptr_array_add(v->homes, g_strdup(name));
+		if (!is_self(v->relay, name))
+			g_ptr_array_add(i < n_homes ? v->homes : v->spares,
+					g_strdup(name));
+		else if (i < n_homes)
+			is_home = true;
 	}
 	v->homes_changed++;
-	/* Nobody was looked for before; it can't be missing yet. */
-	if (!was_home && v->is_home) {
-		v->no_primary_us = v->relay->ticked_us;
-		v->usable_us = 0;
-	}
-	if (was_home != v->is_home)
-		log_home(v, n);
 	g_free(list);
+	if (is_home && !v->is_home) {
+		become_home(v);
+	} else if (v->is_home && !is_home) {
+		v->is_home = false;
+		log_home(v, n);
+	}
+}
+
+/*
+ * Another proxy wants the service served here. One that isn't a home becomes
+ * one for a while: it is a spare, asked by proxies that reach no home.
+ */
+void rpr_on_asked(struct rservice *v, uint64_t now_us)
+{
+	if (v->is_home && !v->spare_us)
+		return;
+	v->spare_us = now_us;
+	if (!v->is_home)
+		become_home(v);
+}
+
+/* Spares that are not asked any more end being homes. */
+static void end_spares(struct relay *r, uint64_t now_us)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, r->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct rservice *v = value;
+
+		if (!v->spare_us || now_us < v->spare_us + SPARE_US ||
+		    rch_is_running(v))
+			continue;
+		v->spare_us = 0;
+		rank_service(v);
+	}
 }
 
 static void rank_all(struct relay *r)
@@ -217,4 +268,5 @@
 {
 	if (r->peers_held && now_us > r->peers_held_us + PEERS_HELD_US)
 		take_peers(r, g_steal_pointer(&r->peers_held), now_us);
+	end_spares(r, now_us);
 }
--- a/packages/relay/src/pick.c
+++ b/packages/relay/src/pick.c
@@ -240,6 +240,8 @@
 		rvi_choose(s, profile, v, out, now_us);
 		return;
 	}
+	if (s->peer)
+		rpr_on_asked(v, now_us);
 	rpk_note_primary_use(v, v->wanted_us, now_us);
 	v->wanted_us = now_us;
 	out->server = choose_own(s, v, profile, out, now_us);
--- a/packages/relay/src/relay_internal.h
+++ b/packages/relay/src/relay_internal.h
@@ -152,6 +152,8 @@
 	bool told; /* the platform was, in this fence */
 	unsigned n_samples;
 	GPtrArray *homes; /* names of the other homes */
+	GPtrArray *spares; /* names of those next in rank; see via.c */
+	uint64_t spare_us; /* as a spare, this proxy was asked last then */
 	unsigned homes_changed; /* how often; peers: when they were listed */
 	unsigned max_connections;
 	uint64_t usable_us; /* a primary could be used here then */
@@ -440,6 +442,7 @@
 
 /* peer.c */
 GPtrArray *rpr_table(void);
+void rpr_on_asked(struct rservice *v, uint64_t now_us);
 void rpr_on_catalog(struct relay *r, uint64_t now_us);
 void rpr_tick(struct relay *r, uint64_t now_us);
 
--- a/packages/relay/src/server.c
+++ b/packages/relay/src/server.c
@@ -392,6 +392,7 @@
 	v->name = g_strdup(name);
 	v->is_home = true;
 	v->homes = g_ptr_array_new_with_free_func(g_free);
+	v->spares = g_ptr_array_new_with_free_func(g_free);
 	v->servers = g_ptr_array_new();
 	return v;
 }
@@ -403,6 +404,7 @@
 
 	g_ptr_array_free(v->servers, TRUE);
 	g_ptr_array_free(v->homes, TRUE);
+	g_ptr_array_free(v->spares, TRUE);
 	g_free(v->name);
 	g_free(v);
 }
--- a/packages/relay/src/via.c
+++ b/packages/relay/src/via.c
@@ -56,16 +56,17 @@
 	return draw;
 }
 
-/* The best home that is not in the service's list yet. */
-static const struct relay_server_info *next_home(const struct rservice *v,
-						 const struct rservice *via)
+/* The best of these proxies that is not in the service's list yet. */
+static const struct relay_server_info *next_of(const GPtrArray *names,
+					       const struct rservice *v,
+					       const struct rservice *via)
 {
 	const struct relay_server_info *best = NULL;
 	unsigned i, j;
 
-	for (i = 0; i < v->homes->len; i++) {
+	for (i = 0; i < names->len; i++) {
 		const struct relay_server_info *p =
-			find_peer(v->relay, g_ptr_array_index(v->homes, i));
+			find_peer(v->relay, g_ptr_array_index(names, i));
 
 		for (j = 0; p && j < via->servers->len; j++) {
 			const struct rserver *s = rservice_server(via, j);
@@ -118,7 +119,7 @@
 
 	unlist_homes(via, now_us);
 	for (i = 0; i < VIA_HOMES; i++) {
-		const struct relay_server_info *p = next_home(v, via);
+		const struct relay_server_info *p = next_of(v->homes, v, via);
 
 		if (!p)
 			break;
@@ -160,10 +161,28 @@
 	       (s->heard_us && !rvi_is_good_home(s, now_us));
 }
 
+static bool is_reached(const struct rservice *via)
+{
+	unsigned i;
+
+	for (i = 0; i < via->servers->len; i++) {
+		const struct rserver *s = rservice_server(via, i);
+
+		if (s->listed && rsv_is_up(s))
+			return true;
+	}
+	return false;
+}
+
 /*
  * Failure: the few homes that this proxy knows are cut off, or lack the
  * configuration, and its callers are refused while other homes serve. Guard:
  * as many more are listed as are bad, until all are good again.
+ *
+ * Failure: a network partition leaves all homes of a service on the other
+ * side, and callers here are refused though its servers are in reach. Guard:
+ * where no home is reached, the proxies next in rank are asked, which are the
+ * same for all on this side and become homes for that.
  */
 static void mind_homes(struct rservice *via, const struct rservice *v,
 		       uint64_t now_us)
@@ -183,7 +202,9 @@
 	}
 	if (n_good >= VIA_HOMES || n_listed >= VIA_HOMES_MOST)
 		return;
-	p = next_home(v, via);
+	p = next_of(v->homes, v, via);
+	if (!p && !is_reached(via))
+		p = next_of(v->spares, v, via);
 	if (p)
 		list_home(via, p, now_us);
 }
@@ -205,19 +226,6 @@
 		via->in_vain_us = now_us;
 }
 
-static bool is_reached(const struct rservice *via)
-{
-	unsigned i;
-
-	for (i = 0; i < via->servers->len; i++) {
-		const struct rserver *s = rservice_server(via, i);
-
-		if (s->listed && rsv_is_up(s))
-			return true;
-	}
-	return false;
-}
-
 /* Looks after the homes of what callers ask for. */
 static void mind_all(struct relay *r, uint64_t now_us)
 {
