relay: formatted

Ruled out: any other file (git diff names two). Change: clang-format over all files, no line of code differs. Result: make lint is clean.

--- a/packages/relay/src/relay_internal.h
+++ b/packages/relay/src/relay_internal.h
@@ -7,9 +7,9 @@
  * that a session has in flight, rpk_ which server runs it, rld_ who is
  * primary, rch_ its replacement, rdt_ the duty record, rtd_ what changes leave
  * behind, rco_
- * network partitions, rpr_ other proxies, rvi_ homes that sessions go through, rol_ servers
- * that fail in part, rcl_ limits of what is in flight at a server, rlg_ log
- * lines, rmt_ metrics.
+ * network partitions, rpr_ other proxies, rvi_ homes that sessions go through,
+ * rol_ servers that fail in part, rcl_ limits of what is in flight at a server,
+ * rlg_ log lines, rmt_ metrics.
  */
 
 #include <celeryquay/base/log_event.h>
--- a/packages/relay/tests/test_homes.c
+++ b/packages/relay/tests/test_homes.c
@@ -445,8 +445,8 @@
 	f->homes = true;
 	fake_list(f);
 	fake_run(f, USEC_PER_SEC);
-	for (relay = 0; is_home_of(f, relay, "group0") ||
-			is_home_of(f, relay, "group1");)
+	for (relay = 0;
+	     is_home_of(f, relay, "group0") || is_home_of(f, relay, "group1");)
 		ck_assert_uint_lt(++relay, RELAYS);
 	s = hist_open(f, relay, 0, RELAY_KIND_PRIMARY);
 	other = hist_open(f, relay, 1, RELAY_KIND_PRIMARY);
