relay: the service of a database is looked up in one place

Cause: profile, then service, stood five times in via.c, session.c and run.c. Ruled out: rlog.c and pick.c, which need the profile besides. Change: rls_service_of(); no decision changes.

--- a/packages/relay/src/listed.c
+++ b/packages/relay/src/listed.c
@@ -19,6 +19,16 @@
 	return v;
 }
 
+/* The service of a database by the configuration in force, or NULL. */
+struct rservice *rls_service_of(const struct relay *r, const char *database)
+{
+	const struct relay_profile *profile =
+		relay_catalog_profile(r->catalog, database);
+
+	return profile ? g_hash_table_lookup(r->services, profile->service) :
+			 NULL;
+}
+
 static struct rserver *add_server(struct relay *r,
 				  const struct relay_server_info *info,
 				  uint64_t now_us)
--- a/packages/relay/src/relay_internal.h
+++ b/packages/relay/src/relay_internal.h
@@ -335,6 +335,7 @@
 
 /* listed.c */
 struct rservice *rls_service(struct relay *r, const char *name);
+struct rservice *rls_service_of(const struct relay *r, const char *database);
 void rls_sweep(struct relay *r, uint64_t now_us);
 
 /* position.c */
--- a/packages/relay/src/run.c
+++ b/packages/relay/src/run.c
@@ -562,14 +562,10 @@
 /* No server could be had; the text says when to come back. */
 static void refuse(struct rsession *s, uint64_t now_us)
 {
-	const struct relay_profile *profile =
-		relay_catalog_profile(s->relay->catalog, s->database);
-	const struct rservice *v = NULL;
+	const struct rservice *v = rls_service_of(s->relay, s->database);
 	uint64_t until_us = 0, wait_us = COME_BACK_US;
 	char text[64];
 
-	if (profile)
-		v = g_hash_table_lookup(s->relay->services, profile->service);
 	if (v && s->run.to_primary)
 		until_us = rch_expected_us(v);
 	if (until_us > now_us + wait_us)
--- a/packages/relay/src/session.c
+++ b/packages/relay/src/session.c
@@ -389,15 +389,14 @@
 void rss_end_if_cut_off(struct rsession *s, uint64_t now_us)
 {
 	struct relay *r = s->relay;
-	const struct relay_profile *profile =
-		relay_catalog_profile(r->catalog, s->database);
-	const struct rservice *v;
+	const struct rservice *v = rls_service_of(r, s->database);
+	bool cut_off;
 
-	if (s->peer || s->hung_up || s->state != 'I' || !profile)
+	if (s->peer || s->hung_up || s->state != 'I' || !v)
 		return;
-	v = g_hash_table_lookup(r->services, profile->service);
-	if (!v || !(v->is_home ? rco_is_cut_off(v, now_us) :
-				 rvi_has_no_home(s, now_us)))
+	cut_off = v->is_home ? rco_is_cut_off(v, now_us) :
+			       rvi_has_no_home(s, now_us);
+	if (!cut_off)
 		return;
 	s->hung_up = true;
 	r->ops->hang_up(r->ctx, s->id);
--- a/packages/relay/src/via.c
+++ b/packages/relay/src/via.c
@@ -141,12 +141,8 @@
 	g_hash_table_iter_init(&iter, r->via);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct rservice *via = value;
-		const struct relay_profile *profile =
-			relay_catalog_profile(r->catalog, via->name);
-		const struct rservice *v = NULL;
+		const struct rservice *v = rls_service_of(r, via->name);
 
-		if (profile)
-			v = g_hash_table_lookup(r->services, profile->service);
 		if (v)
 			list_homes(via, v, now_us);
 		else
@@ -236,12 +232,8 @@
 	g_hash_table_iter_init(&iter, r->via);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct rservice *via = value;
-		const struct relay_profile *profile =
-			relay_catalog_profile(r->catalog, via->name);
-		const struct rservice *v = NULL;
+		const struct rservice *v = rls_service_of(r, via->name);
 
-		if (profile)
-			v = g_hash_table_lookup(r->services, profile->service);
 		if (!v || v->is_home || now_us > via->wanted_us + WANTED_US)
 			continue;
 		mind_homes(via, v, now_us);
@@ -373,13 +365,9 @@
  */
 bool rvi_on_refused(const struct rsession *s, struct rserver *home)
 {
-	const struct relay_profile *profile =
-		relay_catalog_profile(s->relay->catalog, s->database);
-	const struct rservice *v = NULL;
+	const struct rservice *v = rls_service_of(s->relay, s->database);
 
 	home->latency_us += REFUSED_COST_US;
-	if (profile)
-		v = g_hash_table_lookup(s->relay->services, profile->service);
 	return v && v->is_home && s->run.tries + 1 < HELP_TRIES;
 }
 
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -22,8 +22,9 @@
 /* Without any connection a proxy has 25 to 45: pipes, listeners, its log. */
 #define FILES_FIXED 64
 #define DATABASES 3 /* of a service, one of each kind */
-#define CALLERS_CROWD 4 /* times as many at a proxy after others were killed \
-			 */
+#define CALLERS_CROWD                                          \
+	4 /* times as many at a proxy after others were killed \
+	   */
 
 struct options {
 	char *seeds;
