relay: leases run out before the promotion after a step-down, too

From its log: step-down at 8.872 s, promoted by 9.23 s, and at 9.323 s frontend-hakodate-1, cut off from the store, read at the old primary under a lease until about 9.64 s. A server that stepped down runs reads on as a replica, so a step-down takes away writes alone; with a promotion of 300 ms the lease of 750 ms outlives it. Ruled out: the doubt of restarted servers (no connection broke), the pause of replicas (it shortens the lease). Change: after catching up the pauses' time counts, and the promotion waits as it does without a step-down.

--- a/packages/relay/src/change.c
+++ b/packages/relay/src/change.c
@@ -8,7 +8,7 @@
  * FENCE: the primary steps down, or every other server is paused in a higher
  *   term. Either takes away what rld_holds() rests on.
  * CATCH_UP: a primary that stepped down has a log that the target gets first.
- * HOLD: without a step-down, what others were told before the pause runs out.
+ * HOLD: what others were told before the pause runs out.
  * PROMOTE, SETTLE: the platform is told; the target shows itself as primary.
  */
 #define LOG_MODULE "change"
@@ -397,16 +397,18 @@
 	    now_us < v->phase_us + CATCH_UP_LIMIT_US)
 		return;
 	/*
-	 * Failure: the old primary starts anew before the promotion takes
-	 * effect, has forgotten that it stepped down, and is confirmed by
-	 * replicas. What it stores is told as stored, and gone. Guard: they
-	 * are paused by then; without leases that must run out first, since
-	 * until it starts anew it stores nothing.
+	 * Failure: the old primary runs reads on as a replica, and a proxy that
+	 * has not heard of its step-down holds a lease on it: callers miss what
+	 * the new primary stores. Or it starts anew, has forgotten the
+	 * step-down, and is confirmed by replicas: what it stores is gone.
+	 * Guard: replicas are paused too, and the leases run out before the
+	 * promotion can take effect.
 	 */
 	if (v->relay->guards.doubt_reborn && !pause_others(v, now_us) &&
 	    now_us < v->phase_us + CATCH_UP_LIMIT_US)
 		return;
-	v->fenced_us = 0;
+	v->fenced_us = now_us;
+	rld_ask(v);
 	enter(v, PHASE_HOLD, now_us);
 }
 
--- a/packages/relay/tests/test_change.c
+++ b/packages/relay/tests/test_change.c
@@ -214,6 +214,37 @@
 }
 END_TEST
 
+static void read_next(struct fake *f, void *data)
+{
+	hist_start(f, data, RELAY_READ, "", "1");
+}
+
+/*
+ * A primary steps down as planned and runs reads on as a replica. A proxy
+ * whose list is old held its lease on it, and a dispatcher who read there saw
+ * nothing of what was booked at the new primary 100 ms before.
+ */
+START_TEST(test_a_planned_move_waits_for_leases)
+{
+	struct fake *f = start((uint32_t)_i + 100);
+	struct hist_session *reader;
+
+	f->promote_us = 300 * MS;
+	f->relays[0].list_held = true;
+	hist_close(f, writers[0]);
+	reader = hist_open(f, 0, 0, RELAY_KIND_PRIMARY);
+	reader->next = read_next;
+	read_next(f, reader);
+	fake_run(f, fake_random(f, 0, 500) * MS);
+	f->servers[0].leaving = true;
+	fake_list(f);
+	fake_run(f, 4 * USEC_PER_SEC);
+	ck_assert_uint_eq(f->n_promotions, 1);
+	f->relays[0].list_held = false;
+	end(f);
+}
+END_TEST
+
 /*
  * A primary that lost the store leaves the list, but answers. It was never
  * told to step down, and nobody could replace it.
@@ -353,6 +384,7 @@
 	tcase_add_loop_test(tc, test_second_change_fences_too, 0, 5);
 	tcase_add_loop_test(tc, test_lost_word_promotes_no_other, 0, 5);
 	tcase_add_test(tc, test_planned_move_loses_nothing);
+	tcase_add_loop_test(tc, test_a_planned_move_waits_for_leases, 0, 12);
 	tcase_add_test(tc, test_unlisted_primary_steps_down);
 	tcase_add_loop_test(tc, test_suspended_relay_uses_no_old_claim, 0, 5);
 	tcase_add_test(tc, test_old_claim_is_noticed);
