relay: the log names whose word a lease on a primary rests on

A write that an old primary stored was told as stored, and no line said which replica had confirmed that primary: the lines of three explanations (a server that was listed late, one whose pause was forgotten or ended by another proxy, a promotion that took effect late) were the same.

primary-confirmed is written once for each replica and primary, so that a change of primary in a group of three adds at most three lines a proxy; the inputs of a refused statement name the replica, too. No logic changes.

--- a/packages/cli/src/explain.c
+++ b/packages/cli/src/explain.c
@@ -30,6 +30,7 @@
 	{ "proxies-held", "proxies", NULL },
 	{ "primary", "primary", "service" },
 	{ "primary-lost", "primary", "service" },
+	{ "primary-confirmed", "lease", "service" },
 	{ "change", "change", "service" },
 	{ "home", "home", "service" },
 	{ "feed", "feed", NULL },
--- a/packages/relay/src/lead.c
+++ b/packages/relay/src/lead.c
@@ -80,7 +80,9 @@
 		return;
 	log_primary(v, s, now_us);
 	v->primary = s;
+	v->primary_changes++;
 	v->confirmed_us = 0;
+	v->confirmed_by = NULL;
 	v->no_primary_us = now_us;
 	if (!s)
 		return;
@@ -92,6 +94,48 @@
 	rld_ask(v);
 }
 
+/* What shows that a replica was not paused. */
+enum evidence { BY_STATUS, BY_APPLIED };
+
+/*
+ * Whose word a lease rests on, once for each replica and primary: what is told
+ * as stored by mistake is traced to the server that was not fenced.
+ */
+static void log_confirmed(const struct rserver *by, enum evidence evidence,
+			  uint64_t at_us, uint64_t now_us)
+{
+	const struct rservice *v = by->service;
+	struct log_line *l = log_event(LOG_STATE, "primary-confirmed");
+
+	if (!l)
+		return;
+	log_cstr(l, "service", v->name);
+	log_cstr(l, "server", v->primary->info.id);
+	log_u64(l, "term", v->term);
+	log_cstr(l, "by", by->info.id);
+	log_cstr(l, "evidence", evidence == BY_STATUS ? "status" : "applied");
+	log_u64(l, "asked_ms", (now_us - MIN(at_us, now_us)) / USEC_PER_MSEC);
+	log_u64(l, "listed_ms",
+		(now_us - MIN(by->listed_us, now_us)) / USEC_PER_MSEC);
+	log_event_end(l);
+}
+
+/* A replica was not paused at that time: the lease counts from then. */
+static void confirm(struct rserver *by, enum evidence evidence, uint64_t at_us,
+		    uint64_t now_us)
+{
+	struct rservice *v = by->service;
+
+	if (!v->primary || at_us <= v->confirmed_us)
+		return;
+	v->confirmed_us = at_us;
+	v->confirmed_by = by;
+	if (by->confirmed_change == v->primary_changes)
+		return;
+	by->confirmed_change = v->primary_changes;
+	log_confirmed(by, evidence, at_us, now_us);
+}
+
 /* The server is not to be relied on as primary any more. */
 void rld_drop(struct rserver *s, uint64_t now_us)
 {
@@ -190,8 +234,8 @@
 		return;
 	s->agreed_us = started_us;
 	s->agreed_term = v->term;
-	if (word_counts(s, now_us) && started_us > v->confirmed_us)
-		v->confirmed_us = started_us;
+	if (word_counts(s, now_us))
+		confirm(s, BY_STATUS, started_us, now_us);
 }
 
 /* Takes in the status that the server gave to a probe sent at started_us. */
@@ -232,8 +276,9 @@
  * after that, and a paused one receives nothing; so it wasn't paused at `us`.
  * This saves most statuses.
  */
-static void note_unpaused(struct rservice *v, struct position p)
+static void note_unpaused(struct rserver *s, struct position p, uint64_t now_us)
 {
+	const struct rservice *v = s->service;
 	unsigned n = MIN(v->n_samples, SAMPLES);
 	unsigned i;
 
@@ -244,7 +289,7 @@
 		if (sample->us <= v->confirmed_us)
 			return;
 		if (position_cmp(sample->position, p) < 0) {
-			v->confirmed_us = sample->us;
+			confirm(s, BY_APPLIED, sample->us, now_us);
 			return;
 		}
 	}
@@ -261,7 +306,7 @@
 	sample = newest_covered(v, p);
 	s->lag_us = sample ? now_us - MIN(sample->us, now_us) : NEVER_US;
 	if (s->status.held <= v->term && !s->doubted_us)
-		note_unpaused(v, p);
+		note_unpaused(s, p, now_us);
 }
 
 /* A server that was taken for the primary refused to write. */
--- a/packages/relay/src/listed.c
+++ b/packages/relay/src/listed.c
@@ -98,6 +98,8 @@
 		v->old = NULL;
 	if (v->target == s)
 		v->target = NULL;
+	if (v->confirmed_by == s)
+		v->confirmed_by = NULL;
 	g_ptr_array_remove(v->servers, s);
 	return true;
 }
--- a/packages/relay/src/relay_internal.h
+++ b/packages/relay/src/relay_internal.h
@@ -87,6 +87,7 @@
 	bool order_wanted; /* in place of the next status */
 	uint64_t held_seen; /* this pause, see change.c */
 	uint64_t held_seen_us; /* was first seen then */
+	uint64_t listed_us; /* was first listed then */
 	uint64_t unlisted_us; /* left the list then */
 	uint64_t leaving_us; /* was first seen leaving then */
 
@@ -111,6 +112,8 @@
 	uint64_t doubted_us; /* it may have started anew then, 0: no; lead.c */
 	uint64_t agreed_us; /* it knew of no term above agreed_term then */
 	uint64_t agreed_term;
+	uint64_t
+		confirmed_change; /* the last primary_changes it confirmed in */
 	uint64_t failing_us; /* since when probes fail, 0: they don't */
 	uint64_t probed_us; /* the last probe was sent then */
 	uint64_t latency_us; /* smoothed, of callers' statements */
@@ -162,7 +165,9 @@
 
 	struct rserver *primary; /* NULL: not known */
 	uint64_t term; /* the highest that was seen */
+	uint64_t primary_changes; /* how often another was taken for it */
 	uint64_t confirmed_us; /* a replica knew of no higher term then */
+	struct rserver *confirmed_by; /* this one; NULL: none, or it is gone */
 	uint64_t wanted_us; /* a statement needed the primary then */
 	uint64_t no_primary_us; /* since when there is none */
 	uint64_t watch_us; /* the primary fails; replicas are watched since */
--- a/packages/relay/src/rlog.c
+++ b/packages/relay/src/rlog.c
@@ -130,6 +130,8 @@
 		p ? ms_until(v->confirmed_us + v->relay->settings.authority_us,
 			     now_us) :
 		    0);
+	log_cstr(l, "confirmed_by",
+		 v->confirmed_by ? v->confirmed_by->info.id : "");
 	if (!p)
 		log_u64(l, "missing_ms", ms_since(v->no_primary_us, now_us));
 	else if (p->failing_us)
--- a/packages/relay/src/server.c
+++ b/packages/relay/src/server.c
@@ -46,6 +46,7 @@
 	s->service = service;
 	info_copy(&s->info, info);
 	s->listed = true;
+	s->listed_us = now_us;
 	s->leaving_us = now_us;
 	s->latency_us = LATENCY_FIRST_US;
 	s->lag_us = NEVER_US;
