relay: it is told up to which revision of the store it knows all

A proxy that replaces a primary could not say whether its list of servers is as new as its claim: news of the store are gathered for 200 ms and come through other proxies in a larger fleet. Each answer of the store or of a proxy that watches it carries the revision up to which all was told; it is handed on now. Nothing goes by it yet.

--- a/packages/relay/include/celeryquay/relay/relay.h
+++ b/packages/relay/include/celeryquay/relay/relay.h
@@ -110,6 +110,11 @@
 /* The duty record as the store has it: revision 0 when there is none. */
 void relay_on_duty(struct relay *r, uint64_t revision, const char *holder,
 		   uint64_t now_us);
+/*
+ * All that the store had at this revision has been told; the numbers are those
+ * of the duty record.
+ */
+void relay_on_revision(struct relay *r, uint64_t revision);
 /* Whether the store answers; told with every answer and failure. */
 void relay_on_store(struct relay *r, bool answers, uint64_t now_us);
 void relay_on_store_call(struct relay *r, uint64_t took_us);
--- a/packages/relay/src/relay.c
+++ b/packages/relay/src/relay.c
@@ -222,6 +222,12 @@
 		r->store_heard_us = now_us;
 }
 
+/* What is known of the store may be of later, but not of earlier. */
+void relay_on_revision(struct relay *r, uint64_t revision)
+{
+	r->known_revision = MAX(r->known_revision, revision);
+}
+
 /* How long the store took to answer a call that does not wait for news. */
 void relay_on_store_call(struct relay *r, uint64_t took_us)
 {
--- a/packages/relay/src/relay_internal.h
+++ b/packages/relay/src/relay_internal.h
@@ -303,6 +303,7 @@
 	uint64_t next_conn;
 	GQueue waiting; /* struct rrun by arrival */
 	uint64_t store_heard_us; /* the store's last answer */
+	uint64_t known_revision; /* what the store had then was told */
 	bool store_lost; /* it has not answered since */
 	bool listed; /* the list of servers came */
 	uint64_t started_us;
