--- a/packages/relay/tests/support_group.c
+++ b/packages/relay/tests/support_group.c
@@ -416,7 +416,10 @@
 		drop_later(f, c, 0);
 		return;
 	}
-	if (c->server->down) {
+	if (c->server->replaced) {
+		m->answer.code = RELAY_MOVED;
+		drop_later(f, c, 0);
+	} else if (c->server->down) {
 		m->kind = M_REFUSED;
 		drop_later(f, c, 0);
 	} else if (c->server->n_conns >= f->max_connections) {
@@ -438,7 +441,7 @@
 	struct fake_conn *c = g_new0(struct fake_conn, 1);
 	unsigned i;
 
-	for (i = 0; i < MAX_SERVERS; i++)
+	for (i = 0; i < r->fake->n_servers; i++)
 		if (!strcmp(r->fake->servers[i].id, info->id))
 			c->server = &r->fake->servers[i];
 	for (i = 0; i < r->fake->n_relays; i++)
--- a/packages/relay/tests/support_group.h
+++ b/packages/relay/tests/support_group.h
@@ -13,8 +13,9 @@
 #define FAKE_SLOTS 3
 #define MAX_RELAYS (MAX_SERVERS + 1)
 #define MAX_GROUPS 2
-#define GROUP_SIZE 3
-#define MAX_SERVERS (MAX_GROUPS * GROUP_SIZE)
+#define GROUP_SIZE 3 /* at the start */
+#define MAX_NEWCOMERS 40 /* of one history */
+#define MAX_SERVERS (MAX_GROUPS * GROUP_SIZE + MAX_NEWCOMERS)
 
 struct hist;
 
@@ -29,6 +30,10 @@
 	bool unlisted;
 	bool deaf; /* towards the store: it hears of no claim, and has none */
 	bool list_held; /* the list of servers doesn't reach it */
+	uint64_t list_lag_us; /* or reaches it so late */
+	unsigned n_lists_due; /* on their way */
+	bool list_missed; /* one never came, and none since */
+	uint64_t known; /* the store's revision as it was told */
 };
 
 struct fake_server {
@@ -40,6 +45,7 @@
 	bool dark; /* silent towards all */
 	bool leaving;
 	bool listed;
+	bool replaced; /* its process is gone for good, another has its log */
 	bool led; /* its term; it forgets a step-down when it starts anew */
 	uint64_t born_ms;
 	enum server_role role;
@@ -97,6 +103,7 @@
 	GRand *rng;
 	unsigned n_relays;
 	unsigned n_groups;
+	unsigned n_servers;
 	struct fake_relay relays[MAX_RELAYS];
 	struct fake_server servers[MAX_SERVERS];
 	bool cut[MAX_RELAYS][MAX_RELAYS];
@@ -111,12 +118,15 @@
 	double lose_answers; /* share of statements without one */
 	double busy; /* share that servers refuse */
 	double lose_claims;
+	uint64_t
+		promote_late_us; /* a promotion's call is carried out so late */
 	uint64_t promote_us; /* until a promotion takes effect */
 	GArray *commits; /* struct fake_commit; the first is unused */
 	uint64_t top_term[MAX_GROUPS];
 	unsigned n_promotions;
 	uint64_t last_token;
 	unsigned last_holder;
+	uint64_t revision; /* the store's: of lists and of the duty record */
 	uint64_t duty_revision;
 	char duty_holder[8];
 	struct hist *hist;
@@ -144,6 +154,12 @@
 void fake_restart(struct fake *f, unsigned server);
 /* Its process ends and starts anew at once, under the id that it had. */
 void fake_reborn(struct fake *f, unsigned server, bool keeps_log);
+/* A new replica with the log of the others; its number. */
+unsigned fake_join(struct fake *f, unsigned group);
+/* A crashed server's log comes back under another id; its number. */
+unsigned fake_return(struct fake *f, unsigned server);
+/* The server is to leave; its process ends after that time. */
+void fake_leave(struct fake *f, unsigned server, uint64_t drain_us);
 void fake_cut(struct fake *f, unsigned relay, unsigned server, bool cut);
 void fake_freeze(struct fake *f, unsigned relay, uint64_t us);
 void fake_list(struct fake *f);
--- a/packages/relay/tests/support_platform.c
+++ b/packages/relay/tests/support_platform.c
@@ -34,11 +34,11 @@
 	struct fake_server *best = NULL;
 	unsigned i;
 
-	for (i = group * GROUP_SIZE; i < (group + 1) * GROUP_SIZE; i++) {
+	for (i = 0; i < f->n_servers; i++) {
 		struct fake_server *s = &f->servers[i];
 
-		if (is_on_line(s) && s->role == ROLE_PRIMARY &&
-		    (!best || s->term > best->term))
+		if (s->group == group && is_on_line(s) &&
+		    s->role == ROLE_PRIMARY && (!best || s->term > best->term))
 			best = s;
 	}
 	return best;
@@ -94,11 +94,11 @@
 {
 	unsigned i;
 
-	for (i = s->group * GROUP_SIZE; i < (s->group + 1) * GROUP_SIZE; i++) {
+	for (i = 0; i < f->n_servers; i++) {
 		const struct fake_server *old = &f->servers[i];
 
-		if (is_on_line(old) && old->term == s->term &&
-		    old->role == ROLE_REPLICA)
+		if (old->group == s->group && is_on_line(old) &&
+		    old->term == s->term && old->role == ROLE_REPLICA)
 			receive(f, s, old);
 	}
 }
@@ -133,7 +133,7 @@
 {
 	unsigned i;
 
-	for (i = 0; i < f->n_groups * GROUP_SIZE; i++)
+	for (i = 0; i < f->n_servers; i++)
 		stream(f, &f->servers[i]);
 	fake_at(f, -1, STREAM_US, stream_event, data, NULL);
 }
@@ -201,10 +201,18 @@
 	(void)service;
 	while (strcmp(r->fake->servers[call.server].id, server))
 		call.server++;
-	fake_at(r->fake, -1, 2 * MS, promote_event,
+	fake_at(r->fake, -1, 2 * MS + r->fake->promote_late_us, promote_event,
 		g_memdup2(&call, sizeof(call)), g_free);
 }
 
+/* All that came before is known, unless a list is on its way. */
+static void tell_known(struct fake_relay *r, uint64_t revision)
+{
+	r->known = MAX(r->known, revision);
+	if (!r->n_lists_due && !r->list_missed)
+		relay_on_revision(r->relay, r->known);
+}
+
 static void duty_event(struct fake *f, void *data)
 {
 	const struct call *call = data;
@@ -213,11 +221,12 @@
 		return;
 	relay_on_duty(f->relays[call->relay].relay, f->duty_revision,
 		      f->duty_holder, f->now_us);
+	tell_known(&f->relays[call->relay], call->revision);
 }
 
 static void tell_duty(struct fake *f)
 {
-	struct call call = { 0 };
+	struct call call = { .revision = f->duty_revision };
 
 	for (; call.relay < f->n_relays; call.relay++)
 		fake_at(f, (int)call.relay, fake_random(f, 2 * MS, 10 * MS),
@@ -239,7 +248,8 @@
 	call->outcome = RELAY_CLAIM_LOST;
 	if (call->number == f->duty_revision) {
 		call->outcome = RELAY_CLAIM_DONE;
-		f->duty_revision += fake_random(f, 1, 4);
+		f->revision += fake_random(f, 1, 4);
+		f->duty_revision = f->revision;
 		g_strlcpy(f->duty_holder, f->relays[call->relay].name,
 			  sizeof(f->duty_holder));
 		tell_duty(f);
@@ -275,31 +285,20 @@
 			g_memdup2(&call, sizeof(call)), g_free);
 }
 
-static void list_event(struct fake *f, void *data)
+/* A list of servers on its way to a relay. */
+struct list_news {
+	struct fake_relay *relay;
+	uint64_t revision;
+	struct relay_server_info infos[MAX_SERVERS];
+	unsigned n;
+};
+
+static void tell_peers(struct fake *f, struct fake_relay *r)
 {
 	struct relay_server_info infos[MAX_RELAYS] = { 0 };
-	const struct fake_relay *r = data;
 	unsigned i, n = 0;
 
-	for (i = 0; i < f->n_groups * GROUP_SIZE; i++) {
-		struct fake_server *s = &f->servers[i];
-
-		if (!s->listed)
-			continue;
-		infos[n++] =
-			(struct relay_server_info){ .id = s->id,
-						    .service = s->service,
-						    .host = "10.0.0.1",
-						    .port = 1,
-						    .zone = "a",
-						    .leaving = s->leaving,
-						    .role = s->role,
-						    .slots = FAKE_SLOTS,
-						    .born_ms = s->born_ms };
-	}
-	if (!r->list_held)
-		relay_on_servers(r->relay, infos, n, f->now_us);
-	for (i = n = 0; i < f->n_relays; i++)
+	for (i = 0; i < f->n_relays; i++)
 		if (!f->relays[i].unlisted)
 			infos[n++] = (struct relay_server_info){
 				.id = f->relays[i].name,
@@ -310,13 +309,56 @@
 		relay_on_peers(r->relay, infos, n, f->now_us);
 }
 
+static void list_event(struct fake *f, void *data)
+{
+	const struct list_news *news = data;
+	struct fake_relay *r = news->relay;
+
+	r->n_lists_due--;
+	r->list_missed = r->list_held;
+	if (!r->list_held)
+		relay_on_servers(r->relay, news->infos, news->n, f->now_us);
+	tell_peers(f, r);
+	tell_known(r, news->revision);
+}
+
+static void send_list(struct fake *f, struct fake_relay *r)
+{
+	struct list_news *news = g_new0(struct list_news, 1);
+	unsigned i;
+
+	news->relay = r;
+	news->revision = f->revision;
+	for (i = 0; i < f->n_servers; i++) {
+		struct fake_server *s = &f->servers[i];
+
+		if (!s->listed)
+			continue;
+		news->infos[news->n++] = (struct relay_server_info){
+			.id = s->id,
+			.service = s->service,
+			.host = "10.0.0.1",
+			.port = 1,
+			.zone = "a",
+			.leaving = s->leaving,
+			.role = s->role,
+			.slots = FAKE_SLOTS,
+			.born_ms = s->born_ms,
+		};
+	}
+	r->n_lists_due++;
+	fake_at(f, (int)r->index, 5 * MS + r->list_lag_us, list_event, news,
+		g_free);
+}
+
 /* The lists of servers and of relays reach all relays. */
 void fake_list(struct fake *f)
 {
 	unsigned i;
 
+	f->revision++;
 	for (i = 0; i < f->n_relays; i++)
-		fake_at(f, (int)i, 5 * MS, list_event, &f->relays[i], NULL);
+		send_list(f, &f->relays[i]);
 }
 
 static void unlist_event(struct fake *f, void *data)
@@ -366,7 +408,7 @@
 {
 	struct fake_server *s = &f->servers[server];
 
-	if (!s->down)
+	if (!s->down || s->replaced)
 		return;
 	s->down = false;
 	s->listed = true;
@@ -421,7 +463,8 @@
 	memset(f->cut, 0, sizeof(f->cut));
 	memset(f->side, 0, sizeof(f->side));
 	f->lose_answers = f->lose_claims = f->busy = 0;
-	for (i = 0; i < f->n_groups * GROUP_SIZE; i++) {
+	f->promote_late_us = 0;
+	for (i = 0; i < f->n_servers; i++) {
 		f->servers[i].dark = false;
 		f->servers[i].lag_us = 5 * MS;
 		fake_restart(f, i);
@@ -496,21 +539,95 @@
 	fake_at(f, (int)index, MS, tick_event, r, NULL);
 }
 
-static void create_server(struct fake *f, unsigned index)
+static struct fake_server *add_server(struct fake *f, unsigned group,
+				      enum server_role role)
 {
-	struct fake_server *s = &f->servers[index];
+	struct fake_server *s = &f->servers[f->n_servers];
 
-	s->index = index;
-	s->group = index / GROUP_SIZE;
-	g_snprintf(s->id, sizeof(s->id), "s%u", index);
-	g_snprintf(s->service, sizeof(s->service), "group%u", s->group);
+	g_assert(f->n_servers < MAX_SERVERS);
+	s->index = f->n_servers++;
+	s->group = group;
+	g_snprintf(s->id, sizeof(s->id), "s%u", s->index);
+	g_snprintf(s->service, sizeof(s->service), "group%u", group);
 	s->listed = true;
-	s->role = index % GROUP_SIZE ? ROLE_REPLICA : ROLE_PRIMARY;
-	s->led = s->role == ROLE_PRIMARY;
+	s->role = role;
+	s->led = role == ROLE_PRIMARY;
 	s->born_ms = 1;
 	s->term = 1;
 	s->lag_us = 5 * MS;
 	s->log = g_array_new(FALSE, FALSE, sizeof(unsigned));
+	return s;
+}
+
+static void copy_log(struct fake_server *to, const struct fake_server *from)
+{
+	g_array_append_vals(to->log, from->log->data, from->log->len);
+	to->applied = to->log->len;
+	to->term = from->term;
+}
+
+/* The one that has most, of those that run. */
+static const struct fake_server *newest_log(const struct fake *f,
+					    unsigned group)
+{
+	const struct fake_server *best = NULL;
+	unsigned i;
+
+	for (i = 0; i < f->n_servers; i++) {
+		const struct fake_server *s = &f->servers[i];
+
+		if (s->group != group || !is_on_line(s))
+			continue;
+		if (!best || s->term > best->term ||
+		    (s->term == best->term && s->log->len > best->log->len))
+			best = s;
+	}
+	return best;
+}
+
+/* It has what the newest of the others has, and no pause. */
+unsigned fake_join(struct fake *f, unsigned group)
+{
+	const struct fake_server *from = newest_log(f, group);
+	struct fake_server *s = add_server(f, group, ROLE_REPLICA);
+
+	if (from)
+		copy_log(s, from);
+	fake_list(f);
+	return s->index;
+}
+
+/* It leads the term that it led, unless another was promoted meanwhile. */
+unsigned fake_return(struct fake *f, unsigned server)
+{
+	struct fake_server *old = &f->servers[server];
+	struct fake_server *s = add_server(f, old->group, ROLE_REPLICA);
+
+	old->replaced = true;
+	copy_log(s, old);
+	s->led = old->led;
+	if (s->led && s->term == f->top_term[s->group])
+		s->role = ROLE_PRIMARY;
+	fake_list(f);
+	return s->index;
+}
+
+static void left_event(struct fake *f, void *data)
+{
+	struct fake_server *s = data;
+
+	fake_crash(f, s->index);
+	s->replaced = true;
+	s->listed = false;
+	fake_list(f);
+}
+
+/* Planned: it serves until it ends, and does not come back. */
+void fake_leave(struct fake *f, unsigned server, uint64_t drain_us)
+{
+	f->servers[server].leaving = true;
+	fake_list(f);
+	fake_at(f, -1, drain_us, left_event, &f->servers[server], NULL);
 }
 
 /* Groups at rest, and relays that know of them; the rest follows by itself. */
@@ -532,7 +649,8 @@
 	g_array_set_size(f->commits, 1);
 	f->hist = hist_create();
 	for (i = 0; i < n_groups * GROUP_SIZE; i++)
-		create_server(f, i);
+		add_server(f, i / GROUP_SIZE,
+			   i % GROUP_SIZE ? ROLE_REPLICA : ROLE_PRIMARY);
 	for (i = 0; i < n_groups; i++)
 		f->top_term[i] = 1;
 	catalog = create_catalog(f);
@@ -555,7 +673,7 @@
 	}
 	g_tree_destroy(f->events);
 	g_hash_table_destroy(f->conns);
-	for (i = 0; i < f->n_groups * GROUP_SIZE; i++)
+	for (i = 0; i < f->n_servers; i++)
 		g_array_free(f->servers[i].log, TRUE);
 	g_array_free(f->commits, TRUE);
 	hist_destroy(f->hist);
--- /dev/null
+++ b/packages/relay/tests/test_newcomers.c
@@ -0,0 +1,261 @@
+#include "support_history.h"
+
+#include <celeryquay/suite.h>
+
+/*
+ * Servers that are listed, lost, or come back under another id while a primary
+ * is replaced.
+ */
+
+#define SEEDS 60
+#define N_RELAYS 3
+#define CHANGE_LIMIT_US (20 * USEC_PER_SEC)
+#define REST_US (9 * USEC_PER_SEC)
+
+static struct hist_session *callers[N_RELAYS];
+
+static void next_event(struct fake *f, void *data)
+{
+	struct hist_session *s = data;
+
+	if (s->open && s->state != 'I')
+		hist_start(f, s, RELAY_ROLLBACK, "", "");
+	else if (s->open)
+		hist_start(f, s, fake_chance(f, 0.5) ? RELAY_WRITE : RELAY_READ,
+			   "", "1");
+}
+
+/* Three proxies with a caller each that writes and reads all the while. */
+static struct fake *start(uint32_t seed)
+{
+	struct fake *f = fake_create(seed, N_RELAYS, 1);
+	unsigned i;
+
+	f->promote_us = 300 * MS + seed % 8 * 100 * MS;
+	fake_run(f, 6 * USEC_PER_SEC);
+	for (i = 0; i < N_RELAYS; i++) {
+		callers[i] = hist_open(f, i, 0, RELAY_KIND_PRIMARY);
+		callers[i]->next = next_event;
+		next_event(f, callers[i]);
+	}
+	fake_run(f, USEC_PER_SEC);
+	return f;
+}
+
+/* What was wrong until a while after all has healed. */
+static char *end(struct fake *f)
+{
+	unsigned acked, i;
+	char *wrong;
+
+	for (i = 0; i < f->n_relays; i++) {
+		f->relays[i].list_lag_us = 0;
+		f->relays[i].list_held = false;
+	}
+	fake_heal(f);
+	fake_list(f);
+	fake_run(f, REST_US);
+	acked = hist_acknowledged(f);
+	fake_run(f, USEC_PER_SEC);
+	wrong = g_strdup(hist_check(f));
+	if (!*wrong && hist_acknowledged(f) < acked + 50) {
+		g_free(wrong);
+		wrong = g_strdup("nothing is stored any more");
+	}
+	fake_destroy(f);
+	return wrong;
+}
+
+static const struct rservice *service_at(const struct fake *f, unsigned relay)
+{
+	return g_hash_table_lookup(f->relays[relay].relay->services, "group0");
+}
+
+/* The relay that replaces the primary and has come that far, or -1. */
+static int changer_in(const struct fake *f, enum rphase phase)
+{
+	unsigned i;
+
+	for (i = 0; i < f->n_relays; i++)
+		if (service_at(f, i)->phase == phase)
+			return (int)i;
+	return -1;
+}
+
+static int run_until(struct fake *f, enum rphase phase)
+{
+	uint64_t limit_us = f->now_us + CHANGE_LIMIT_US;
+
+	while (changer_in(f, phase) < 0 && f->now_us < limit_us)
+		fake_run(f, MS);
+	return changer_in(f, phase);
+}
+
+static const enum rphase phases[] = { PHASE_FENCE, PHASE_HOLD, PHASE_PROMOTE,
+				      PHASE_SETTLE };
+
+static int run_into_a_phase(struct fake *f, uint32_t seed)
+{
+	int changer = run_until(f, phases[seed % G_N_ELEMENTS(phases)]);
+
+	fake_run(f, fake_random(f, 0, 200) * MS);
+	return changer;
+}
+
+static char *new_server_in_a_change(uint32_t seed)
+{
+	struct fake *f = start(seed);
+
+	fake_crash(f, 0);
+	run_into_a_phase(f, seed);
+	fake_join(f, 0);
+	fake_run(f, fake_random(f, 20, 400) * MS);
+	fake_return(f, 0);
+	fake_run(f, 4 * USEC_PER_SEC);
+	return end(f);
+}
+
+static char *new_server_that_the_changer_sees_late(uint32_t seed)
+{
+	struct fake *f = start(seed);
+	int changer;
+
+	fake_crash(f, 0);
+	changer = run_until(f, PHASE_FENCE);
+	if (changer >= 0)
+		f->relays[changer].list_lag_us = 2 * USEC_PER_SEC;
+	if (seed % 2)
+		run_until(f, PHASE_HOLD);
+	fake_run(f, fake_random(f, 0, 10) * MS);
+	fake_join(f, 0);
+	fake_run(f, fake_random(f, 20, 400) * MS);
+	fake_return(f, 0);
+	fake_run(f, 4 * USEC_PER_SEC);
+	return end(f);
+}
+
+static char *paused_replica_comes_back_as_another(uint32_t seed)
+{
+	struct fake *f = start(seed);
+	unsigned replica = 1 + seed / 4 % 2;
+
+	fake_crash(f, 0);
+	run_into_a_phase(f, seed);
+	fake_crash(f, replica);
+	fake_run(f, fake_random(f, 20, 300) * MS);
+	fake_return(f, replica);
+	fake_run(f, fake_random(f, 0, 200) * MS);
+	fake_return(f, 0);
+	fake_run(f, 4 * USEC_PER_SEC);
+	return end(f);
+}
+
+static char *planned_change_of_all_servers(uint32_t seed)
+{
+	struct fake *f = start(seed);
+	unsigned i;
+
+	for (i = 0; i < GROUP_SIZE; i++) {
+		fake_join(f, 0);
+		fake_run(f, fake_random(f, 0, 300) * MS);
+		fake_leave(f, i, 7 * USEC_PER_SEC);
+		fake_run(f, fake_random(f, 0, 500) * MS);
+	}
+	run_into_a_phase(f, seed);
+	fake_crash(f, fake_random(f, 0, GROUP_SIZE));
+	fake_run(f, 9 * USEC_PER_SEC);
+	return end(f);
+}
+
+static char *promotion_that_takes_effect_late(uint32_t seed)
+{
+	struct fake *f = start(seed);
+
+	f->promote_late_us = fake_random(f, 300, 1200) * MS;
+	f->promote_us = 1000 * MS;
+	fake_crash(f, 0);
+	run_until(f, PHASE_PROMOTE);
+	f->lose_claims = 1;
+	fake_run(f, fake_random(f, 0, 1500) * MS);
+	if (seed % 2)
+		fake_join(f, 0);
+	fake_return(f, 0);
+	fake_run(f, 6 * USEC_PER_SEC);
+	return end(f);
+}
+
+typedef char *(*story_fn)(uint32_t seed);
+
+static void check_promises(story_fn story)
+{
+	uint32_t seed;
+
+	for (seed = 0; seed < SEEDS; seed++) {
+		char *wrong = story(seed);
+
+		ck_assert_msg(!*wrong, "seed %u: %s", seed, wrong);
+		g_free(wrong);
+	}
+}
+
+/*
+ * A primary dies and its replicas are paused. A new server of the service is
+ * listed, which nobody pauses; the old primary comes back under another id,
+ * the new server confirms it, and a code that an installer was told is stored
+ * there is gone with the promotion. The log has primary-confirmed by a server
+ * that was listed after the pauses.
+ */
+START_TEST(test_a_server_that_is_listed_in_a_change)
+{
+	check_promises(new_server_in_a_change);
+}
+END_TEST
+
+/*
+ * The same, while the proxy that replaces the primary is the last to hear of
+ * the new server: it has told the platform by then.
+ */
+START_TEST(test_a_server_that_the_changer_sees_late)
+{
+	check_promises(new_server_that_the_changer_sees_late);
+}
+END_TEST
+
+/*
+ * A paused replica crashes and comes back with its log under another id,
+ * without its pause; then the old primary does.
+ */
+START_TEST(test_a_pause_that_is_gone_with_its_id)
+{
+	check_promises(paused_replica_comes_back_as_another);
+}
+END_TEST
+
+/* All servers are replaced at once, as planned, and one more crashes. */
+START_TEST(test_a_release_in_a_change)
+{
+	check_promises(planned_change_of_all_servers);
+}
+END_TEST
+
+/*
+ * The platform is told of a promotion and its answer is lost; it takes effect
+ * when the change was given up, and an old primary serves again by then.
+ */
+START_TEST(test_a_promotion_that_takes_effect_late)
+{
+	check_promises(promotion_that_takes_effect_late);
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tc = tcase_create("newcomers");
+
+	tcase_add_test(tc, test_a_server_that_is_listed_in_a_change);
+	tcase_add_test(tc, test_a_server_that_the_changer_sees_late);
+	tcase_add_test(tc, test_a_pause_that_is_gone_with_its_id);
+	tcase_add_test(tc, test_a_release_in_a_change);
+	tcase_add_test(tc, test_a_promotion_that_takes_effect_late);
+	return suite_main("newcomers", tc);
+}
