relay: a server that was just listed confirms no primary by itself

What callers saw: a write told as stored, at an old primary that came back under another id, was thrown away by the promotion of another server.

Cause: a proxy relies on a primary for 750 ms after any replica, asked then, was not paused. Whoever replaces a primary pauses the servers that it knows; one that is listed after that, or comes back under another id without its pause, knows of nothing and is believed.

Change: the word of a server is in doubt from when a proxy first sees it, as it was already after a restart under the same id. The doubt ends once a replica without one, asked later, is not paused, once all others agree, or after 5 s. A proxy that has just started takes processes that have run for 15 s for known ones, so that a crash of one server beside its start costs it nothing. What replicas have applied ends doubts too: at rest no statement more is sent for it.

Why it holds: a replica that isn't paused shows that no fence was complete then, and who was listed before is fenced with it.

--- a/packages/relay/src/lead.c
+++ b/packages/relay/src/lead.c
@@ -17,11 +17,23 @@
 #define RENEW_US (150 * USEC_PER_MSEC)
 #define WANTED_US USEC_PER_SEC
 /*
- * A change of primary is over by then: what a server forgot when it started
- * anew matters no more. The same as what tidy.c waits before it ends a pause.
+ * A change of primary is over by then: what a server doesn't know of it
+ * matters no more. The same as what tidy.c waits before it ends a pause.
  */
 #define DOUBT_US (5 * USEC_PER_SEC)
 
+/*
+ * A process that has run for this long was listed before any change of primary
+ * that may be under way began: 5 s for a change, and 10 s for the clocks of
+ * two VMs.
+ */
+#define OLD_PROCESS_US (15 * USEC_PER_SEC)
+/*
+ * Servers whose entries lapsed in an outage of the store are back in the list
+ * by then.
+ */
+#define FIRST_LIST_US (2500 * USEC_PER_MSEC)
+
 /* Whether another server is known that could take the primary's place. */
 static bool has_others(const struct rservice *v)
 {
@@ -120,6 +132,27 @@
 	log_event_end(l);
 }
 
+/*
+ * Failure: another proxy paused all replicas and is about to promote one. A
+ * server that knows nothing of that, since it is listed only now, has another
+ * id now or has started anew, confirms the old primary here; what is stored
+ * there is told as stored and is gone. Guard: the word of a server is in doubt
+ * from the moment that this proxy sees it. The doubt ends once a replica
+ * without one, asked later, is not paused: no fence was complete then, and
+ * each fence takes in all that was listed before it is.
+ */
+static void end_doubts(const struct rservice *v, uint64_t unpaused_us)
+{
+	unsigned i;
+
+	for (i = 0; i < v->servers->len; i++) {
+		struct rserver *s = rservice_server(v, i);
+
+		if (s->doubted_us < unpaused_us)
+			s->doubted_us = 0;
+	}
+}
+
 /* A replica was not paused at that time: the lease counts from then. */
 static void confirm(struct rserver *by, enum evidence evidence, uint64_t at_us,
 		    uint64_t now_us)
@@ -128,6 +161,7 @@
 
 	if (!v->primary || at_us <= v->confirmed_us)
 		return;
+	end_doubts(v, at_us);
 	v->confirmed_us = at_us;
 	v->confirmed_by = by;
 	if (by->confirmed_change == v->primary_changes)
@@ -172,6 +206,21 @@
 	rld_ask(s->service);
 }
 
+/*
+ * The server is in the list for the first time. One that has run for long is
+ * new only to a proxy that has just started.
+ */
+void rld_on_listed(struct rserver *s, uint64_t now_us)
+{
+	const struct relay *r = s->relay;
+	bool is_first_list = now_us < r->listed_us + FIRST_LIST_US;
+
+	if (s->service->peers || !r->guards.doubt_newcomers ||
+	    (is_first_list && s->info.age_us > OLD_PROCESS_US))
+		return;
+	s->doubted_us = now_us;
+}
+
 static void note_primary(struct rserver *s, uint64_t now_us)
 {
 	struct rservice *v = s->service;
@@ -189,33 +238,28 @@
 	set_primary(v, s, now_us);
 }
 
+static bool is_doubted(const struct rserver *s, uint64_t now_us)
+{
+	return s->doubted_us && now_us < s->doubted_us + DOUBT_US;
+}
+
 /*
- * Whether a replica's word on the primary counts.
- *
- * Failure: another proxy paused all replicas and is about to promote one. One
- * of the others starts anew and has forgotten the pause; it confirms the old
- * primary here, and what is stored there is told as stored and is gone. Guard:
- * while a replica may have started anew, it counts only together with all the
- * others, each asked after that; one of these still knows. A lone replica is
- * itself the one that is promoted.
+ * Whether all other replicas know of no change, each asked after the time. One
+ * of them is the server that a change would promote, and it would know.
  */
-static bool word_counts(struct rserver *s, uint64_t now_us)
+static bool others_agree(const struct rserver *s, uint64_t after_us)
 {
 	const struct rservice *v = s->service;
 	unsigned i;
 
-	if (!s->doubted_us || !s->relay->guards.doubt_reborn)
-		return true;
 	for (i = 0; i < v->servers->len; i++) {
 		const struct rserver *o = rservice_server(v, i);
 
-		if (o == s || o == v->primary ||
-		    now_us > s->doubted_us + DOUBT_US)
+		if (o == s || o == v->primary)
 			continue;
-		if (o->agreed_term != v->term || o->agreed_us <= s->doubted_us)
+		if (o->agreed_term != v->term || o->agreed_us <= after_us)
 			return false;
 	}
-	s->doubted_us = 0;
 	return true;
 }
 
@@ -234,7 +278,7 @@
 		return;
 	s->agreed_us = started_us;
 	s->agreed_term = v->term;
-	if (word_counts(s, now_us))
+	if (!is_doubted(s, now_us) || others_agree(s, s->doubted_us))
 		confirm(s, BY_STATUS, started_us, now_us);
 }
 
@@ -305,7 +349,7 @@
 		return;
 	sample = newest_covered(v, p);
 	s->lag_us = sample ? now_us - MIN(sample->us, now_us) : NEVER_US;
-	if (s->status.held <= v->term && !s->doubted_us)
+	if (s->status.held <= v->term && !is_doubted(s, now_us))
 		note_unpaused(s, p, now_us);
 }
 
--- a/packages/relay/src/listed.c
+++ b/packages/relay/src/listed.c
@@ -40,6 +40,7 @@
 		v->no_primary_us = now_us;
 	g_hash_table_insert(r->servers, g_strdup(info->id), s);
 	g_ptr_array_add(v->servers, s);
+	rld_on_listed(s, now_us);
 	rlg_server_event(s, "server-listed");
 	return s;
 }
@@ -144,6 +145,8 @@
 {
 	unsigned i;
 
+	if (!r->listed)
+		r->listed_us = now_us;
 	r->listed = true;
 	unlist(r, infos, n_infos, now_us);
 	for (i = 0; i < n_infos; i++) {
--- a/packages/relay/src/relay_internal.h
+++ b/packages/relay/src/relay_internal.h
@@ -109,7 +109,7 @@
 	uint64_t status_us; /* start of the probe that gave it, 0: none */
 	uint64_t heard_us;
 	uint64_t broke_us; /* a connection broke then, 0: all is known */
-	uint64_t doubted_us; /* it may have started anew then, 0: no; lead.c */
+	uint64_t doubted_us; /* it may know of no pause since, 0: no; lead.c */
 	uint64_t agreed_us; /* it knew of no term above agreed_term then */
 	uint64_t agreed_term;
 	uint64_t
@@ -278,6 +278,7 @@
 	bool avoid_outliers; /* servers that fail in part cost more */
 	bool limit_in_flight; /* what would queue at a server waits here */
 	bool doubt_reborn; /* what a server knew before its start is gone */
+	bool doubt_newcomers; /* who was just listed may know of no change */
 	bool leave_when_cut_off; /* callers go to proxies that can serve */
 };
 
@@ -306,6 +307,7 @@
 	uint64_t known_revision; /* what the store had then was told */
 	bool store_lost; /* it has not answered since */
 	bool listed; /* the list of servers came */
+	uint64_t listed_us; /* for the first time then */
 	uint64_t started_us;
 	uint64_t ticked_us;
 	uint64_t minded_us; /* homes were looked after then */
@@ -487,6 +489,7 @@
 void rld_on_status(struct rserver *s, uint64_t started_us, uint64_t now_us);
 void rld_on_position(struct rserver *s, struct position p, uint64_t sent_us);
 void rld_ask(struct rservice *v);
+void rld_on_listed(struct rserver *s, uint64_t now_us);
 void rld_on_doubt(struct rserver *s, uint64_t now_us);
 bool rld_wants(const struct rservice *v, uint64_t now_us);
 void rld_on_applied(struct rserver *s, struct position p, uint64_t now_us);
--- a/packages/relay/tests/test_newcomers.c
+++ b/packages/relay/tests/test_newcomers.c
@@ -25,12 +25,17 @@
 			   "", "1");
 }
 
+static bool without_doubts;
+
 /* Three proxies with a caller each that writes and reads all the while. */
 static struct fake *start(uint32_t seed)
 {
 	struct fake *f = fake_create(seed, N_RELAYS, 1);
 	unsigned i;
 
+	for (i = 0; i < N_RELAYS; i++)
+		relay_guards_of(f->relays[i].relay)->doubt_newcomers =
+			!without_doubts;
 	f->promote_us = 300 * MS + seed % 8 * 100 * MS;
 	fake_run(f, 6 * USEC_PER_SEC);
 	for (i = 0; i < N_RELAYS; i++) {
@@ -198,12 +203,31 @@
 	}
 }
 
+static void check_is_noticed(story_fn story)
+{
+	unsigned n = 0;
+	uint32_t seed;
+
+	without_doubts = true;
+	for (seed = 0; seed < SEEDS; seed++) {
+		char *wrong = story(seed);
+
+		n += *wrong != 0;
+		g_free(wrong);
+	}
+	without_doubts = false;
+	ck_assert_uint_gt(n, 0);
+}
+
 /*
  * A primary dies and its replicas are paused. A new server of the service is
  * listed, which nobody pauses; the old primary comes back under another id,
  * the new server confirms it, and a code that an installer was told is stored
- * there is gone with the promotion. The log has primary-confirmed by a server
- * that was listed after the pauses.
+ * there is gone with the promotion.
+ * The cause: one replica's word was enough, also that of a server which no
+ * pause could have reached. The evidence: each log had primary-confirmed by
+ * the new server, 50 ms after it was listed, in all plays with the fault and
+ * in none without.
  */
 START_TEST(test_a_server_that_is_listed_in_a_change)
 {
@@ -211,6 +235,12 @@
 }
 END_TEST
 
+START_TEST(test_what_new_servers_say_is_noticed)
+{
+	check_is_noticed(new_server_in_a_change);
+}
+END_TEST
+
 /*
  * The same, while the proxy that replaces the primary is the last to hear of
  * the new server: it has told the platform by then.
@@ -223,7 +253,7 @@
 
 /*
  * A paused replica crashes and comes back with its log under another id,
- * without its pause; then the old primary does.
+ * without its pause; then the old primary does, and the two confirm each other.
  */
 START_TEST(test_a_pause_that_is_gone_with_its_id)
 {
@@ -253,6 +283,7 @@
 	TCase *tc = tcase_create("newcomers");
 
 	tcase_add_test(tc, test_a_server_that_is_listed_in_a_change);
+	tcase_add_test(tc, test_what_new_servers_say_is_noticed);
 	tcase_add_test(tc, test_a_server_that_the_changer_sees_late);
 	tcase_add_test(tc, test_a_pause_that_is_gone_with_its_id);
 	tcase_add_test(tc, test_a_release_in_a_change);
