relay: a server that the changing proxy has not heard of, red

Two proxies know a new server, have seen an unpaused replica since, and go by its word. The third proxy hears of it seconds later and has another server promoted meanwhile. News of the store are gathered for 200 ms, come through other proxies in a large fleet, and stop for a second when the store drops its history, so lists do differ for that long.

--- a/packages/relay/tests/test_newcomers.c
+++ b/packages/relay/tests/test_newcomers.c
@@ -56,6 +56,7 @@
 	for (i = 0; i < f->n_relays; i++) {
 		f->relays[i].list_lag_us = 0;
 		f->relays[i].list_held = false;
+		f->relays[i].deaf = false;
 	}
 	fake_heal(f);
 	fake_list(f);
@@ -139,6 +140,24 @@
 	return end(f);
 }
 
+static char *new_server_just_before_the_pauses(uint32_t seed)
+{
+	struct fake *f = start(seed);
+	unsigned i, late = seed % N_RELAYS;
+
+	f->relays[late].list_lag_us = 3 * USEC_PER_SEC;
+	for (i = 0; i < N_RELAYS; i++)
+		f->relays[i].deaf = i != late;
+	fake_join(f, 0);
+	fake_run(f, fake_random(f, 0, 700) * MS);
+	fake_crash(f, 0);
+	run_until(f, PHASE_HOLD);
+	fake_run(f, fake_random(f, 0, 400) * MS);
+	fake_return(f, 0);
+	fake_run(f, 4 * USEC_PER_SEC);
+	return end(f);
+}
+
 static char *paused_replica_comes_back_as_another(uint32_t seed)
 {
 	struct fake *f = start(seed);
@@ -251,6 +270,17 @@
 }
 END_TEST
 
+/*
+ * A new server confirms the primary at two proxies, rightly, just before it
+ * dies. The third proxy has not heard of the new server when it pauses the
+ * others and has one promoted.
+ */
+START_TEST(test_a_server_that_the_changer_never_paused)
+{
+	check_promises(new_server_just_before_the_pauses);
+}
+END_TEST
+
 /*
  * A paused replica crashes and comes back with its log under another id,
  * without its pause; then the old primary does, and the two confirm each other.
@@ -285,6 +315,7 @@
 	tcase_add_test(tc, test_a_server_that_is_listed_in_a_change);
 	tcase_add_test(tc, test_what_new_servers_say_is_noticed);
 	tcase_add_test(tc, test_a_server_that_the_changer_sees_late);
+	tcase_add_test(tc, test_a_server_that_the_changer_never_paused);
 	tcase_add_test(tc, test_a_pause_that_is_gone_with_its_id);
 	tcase_add_test(tc, test_a_release_in_a_change);
 	tcase_add_test(tc, test_a_promotion_that_takes_effect_late);
