relay: who replaces a primary claims the duty again once all are paused

Cause: the doubt about a new server ends once an unpaused replica is seen after it, since a fence that completes later takes in all that was listed before. But the list of the changing proxy may trail: news of the store are gathered for 200 ms, come through other proxies from 17 proxies on, and stop for a second when the store drops its history.

Change: a second claim is made when all that are known are paused, and the platform is told only once the list is known up to that claim's revision. A server that turns up until then is paused, and the fence is made again; one that turns up later is paused all the same. Claim and list are awaited while leases run out anyway, so a change takes no longer; it costs one write of the store.

A test is corrected: test_lost_word_promotes_no_other lost the store's answers together with the platform's; the second claim ended its story before the platform's word mattered. It loses the platform's words alone now, and asks for the same.

--- a/packages/relay/src/change.c
+++ b/packages/relay/src/change.c
@@ -8,7 +8,8 @@
  * FENCE: the primary steps down, or every other server is paused in a higher
  *   term. Either takes away what rld_holds() rests on.
  * CATCH_UP: a primary that stepped down has a log that the target gets first.
- * HOLD: what others were told before the pause runs out.
+ * HOLD: what others were told before the pause runs out, and a claim made
+ *   since then shows that no server was missed.
  * PROMOTE, SETTLE: the platform is told; the target shows itself as primary.
  */
 #define LOG_MODULE "change"
@@ -288,6 +289,24 @@
 	return s != v->old && !s->moved && (s->listed || rsv_is_up(s));
 }
 
+/* After the platform was told, the target is the primary at any moment. */
+static bool must_be_paused(const struct rservice *v, const struct rserver *s)
+{
+	if (s == v->target && v->phase >= PHASE_PROMOTE)
+		return false;
+	return may_confirm(v, s) && !is_paused(v, s);
+}
+
+static bool any_unpaused(const struct rservice *v)
+{
+	unsigned i;
+
+	for (i = 0; i < v->servers->len; i++)
+		if (must_be_paused(v, rservice_server(v, i)))
+			return true;
+	return false;
+}
+
 /* Pauses the others; true when every one that may confirm it is paused. */
 static bool pause_others(struct rservice *v, uint64_t now_us)
 {
@@ -297,7 +316,7 @@
 	for (i = 0; i < v->servers->len; i++) {
 		struct rserver *s = rservice_server(v, i);
 
-		if (!may_confirm(v, s) || is_paused(v, s))
+		if (!must_be_paused(v, s))
 			continue;
 		all = false;
 		/* A primary that is not relied on can't be paused. */
@@ -327,6 +346,17 @@
 	return v->servers->len <= n_paused + 1;
 }
 
+/* Nobody may commit at the old primary from now on, as far as is known. */
+static void fenced(struct rservice *v, uint64_t now_us)
+{
+	v->fenced_us = now_us;
+	rld_ask(v);
+	if (v->relay->guards.claim_after_fence)
+		start_claim(v, now_us);
+	else
+		enter(v, PHASE_HOLD, now_us);
+}
+
 static void fence(struct rservice *v, uint64_t now_us)
 {
 	if (now_us > v->phase_us + FENCE_LIMIT_US) {
@@ -345,9 +375,7 @@
 		rsv_order_again(v->old, RELAY_STEP_DOWN, v->fence_term, now_us);
 	if (is_planned(v) || !pause_others(v, now_us) || !no_two_are_left(v))
 		return;
-	v->fenced_us = now_us;
-	rld_ask(v);
-	enter(v, PHASE_HOLD, now_us);
+	fenced(v, now_us);
 }
 
 /*
@@ -407,9 +435,7 @@
 	if (v->relay->guards.doubt_reborn && !pause_others(v, now_us) &&
 	    now_us < v->phase_us + CATCH_UP_LIMIT_US)
 		return;
-	v->fenced_us = now_us;
-	rld_ask(v);
-	enter(v, PHASE_HOLD, now_us);
+	fenced(v, now_us);
 }
 
 static void promote(struct rservice *v, uint64_t now_us)
@@ -433,10 +459,41 @@
 	r->ops->promote(r->ctx, v->name, v->target->info.id, r->token);
 }
 
+/* The fence is made once more, under the same term and for the same target. */
+static void fence_again(struct rservice *v, uint64_t now_us)
+{
+	v->stepped_down = false;
+	v->fenced_us = 0;
+	if (v->phase != PHASE_CLAIM)
+		enter(v, PHASE_FENCE, now_us);
+}
+
+/*
+ * Failure: a server that others know, and go by, is not in this proxy's list
+ * yet: news of the store are gathered, or come through other proxies, or stop
+ * for a while. It is not paused, and confirms the old primary while another is
+ * promoted. Guard: the duty is claimed once more when all are paused, and the
+ * list must be known up to that claim. Who was listed before the pauses is
+ * paused, too; who is listed later is believed nowhere, see lead.c.
+ */
+static bool knows_all_servers(const struct rservice *v)
+{
+	const struct relay *r = v->relay;
+
+	return !r->guards.claim_after_fence ||
+	       (r->claimed_us >= v->fenced_us && r->known_revision >= r->token);
+}
+
 static void hold(struct rservice *v, uint64_t now_us)
 {
 	const struct relay_settings *set = &v->relay->settings;
 
+	/* A server that came after the pauses is paused like the others. */
+	if (v->fenced_us && v->relay->guards.claim_after_fence &&
+	    any_unpaused(v)) {
+		fence_again(v, now_us);
+		return;
+	}
 	if (v->fenced_us && v->relay->guards.hold_before_promote &&
 	    now_us + set->promote_least_us < v->fenced_us + set->authority_us)
 		return;
@@ -445,6 +502,12 @@
 			give_up(v, "a paused server is silent", now_us);
 		return;
 	}
+	if (v->fenced_us && rdt_is_fresh(v->relay, now_us) &&
+	    !knows_all_servers(v)) {
+		if (now_us > v->phase_us + FENCE_LIMIT_US)
+			give_up(v, "the list of servers is too old", now_us);
+		return;
+	}
 	if (rdt_is_fresh(v->relay, now_us))
 		promote(v, now_us);
 	else
@@ -453,6 +516,7 @@
 
 static void settle(struct rservice *v, uint64_t now_us)
 {
+	pause_others(v, now_us);
 	if (v->target)
 		rsv_probe_soon(v->target);
 	if (now_us > v->phase_us + SETTLE_LIMIT_US)
@@ -484,6 +548,7 @@
 		hold(v, now_us);
 		break;
 	case PHASE_PROMOTE:
+		pause_others(v, now_us);
 		if (now_us > v->phase_us + PROMOTE_LIMIT_US)
 			rch_on_promoted(v, false, now_us);
 		break;
@@ -542,15 +607,6 @@
 	enter(v, PHASE_HOLD, now_us);
 }
 
-/* The fence is made once more, under the same term and for the same target. */
-static void fence_again(struct rservice *v, uint64_t now_us)
-{
-	v->stepped_down = false;
-	v->fenced_us = 0;
-	if (v->phase != PHASE_CLAIM)
-		enter(v, PHASE_FENCE, now_us);
-}
-
 /*
  * A server may have started anew and forgotten what this change told it: that
  * it stepped down, or is paused. Until the platform is told, the fence is made
--- a/packages/relay/src/relay_internal.h
+++ b/packages/relay/src/relay_internal.h
@@ -278,6 +278,7 @@
 	bool avoid_outliers; /* servers that fail in part cost more */
 	bool limit_in_flight; /* what would queue at a server waits here */
 	bool doubt_reborn; /* what a server knew before its start is gone */
+	bool claim_after_fence; /* no server is missing in the fence */
 	bool doubt_newcomers; /* who was just listed may know of no change */
 	bool leave_when_cut_off; /* callers go to proxies that can serve */
 };
--- a/packages/relay/tests/support_group.h
+++ b/packages/relay/tests/support_group.h
@@ -118,6 +118,7 @@
 	double lose_answers; /* share of statements without one */
 	double busy; /* share that servers refuse */
 	double lose_claims;
+	bool lose_words; /* on promotions; they are carried out */
 	uint64_t
 		promote_late_us; /* a promotion's call is carried out so late */
 	uint64_t promote_us; /* until a promotion takes effect */
--- a/packages/relay/tests/support_platform.c
+++ b/packages/relay/tests/support_platform.c
@@ -187,7 +187,7 @@
 	if (call->accepted)
 		fake_at(f, -1, f->promote_us, promoted_event,
 			g_memdup2(call, sizeof(*call)), g_free);
-	if (!fake_chance(f, f->lose_claims))
+	if (!fake_chance(f, f->lose_claims) && !f->lose_words)
 		fake_at(f, (int)call->relay, 5 * MS, told_event,
 			g_memdup2(call, sizeof(*call)), g_free);
 }
@@ -463,6 +463,7 @@
 	memset(f->cut, 0, sizeof(f->cut));
 	memset(f->side, 0, sizeof(f->side));
 	f->lose_answers = f->lose_claims = f->busy = 0;
+	f->lose_words = false;
 	f->promote_late_us = 0;
 	for (i = 0; i < f->n_servers; i++) {
 		f->servers[i].dark = false;
--- a/packages/relay/tests/test_change.c
+++ b/packages/relay/tests/test_change.c
@@ -186,7 +186,7 @@
 	while (!f->duty_revision)
 		fake_run(f, MS / 2);
 	fake_run(f, 5 * MS);
-	f->lose_claims = 1;
+	f->lose_words = true;
 	fake_run(f, 3 * USEC_PER_SEC);
 	ck_assert_uint_eq(f->n_promotions, 1);
 	end(f);
--- a/packages/relay/tests/test_newcomers.c
+++ b/packages/relay/tests/test_newcomers.c
@@ -25,7 +25,8 @@
 			   "", "1");
 }
 
-static bool without_doubts;
+/* The guard that the proxies go without, by its place; NULL: none. */
+static const size_t *guard_off;
 
 /* Three proxies with a caller each that writes and reads all the while. */
 static struct fake *start(uint32_t seed)
@@ -33,9 +34,9 @@
 	struct fake *f = fake_create(seed, N_RELAYS, 1);
 	unsigned i;
 
-	for (i = 0; i < N_RELAYS; i++)
-		relay_guards_of(f->relays[i].relay)->doubt_newcomers =
-			!without_doubts;
+	for (i = 0; guard_off && i < N_RELAYS; i++)
+		((bool *)relay_guards_of(f->relays[i].relay))[*guard_off] =
+			false;
 	f->promote_us = 300 * MS + seed % 8 * 100 * MS;
 	fake_run(f, 6 * USEC_PER_SEC);
 	for (i = 0; i < N_RELAYS; i++) {
@@ -140,6 +141,22 @@
 	return end(f);
 }
 
+static char *new_server_after_the_platform_was_told(uint32_t seed)
+{
+	struct fake *f = start(seed);
+	int changer;
+
+	fake_crash(f, 0);
+	changer = run_until(f, PHASE_PROMOTE);
+	if (changer >= 0)
+		f->relays[changer].list_lag_us = 2 * USEC_PER_SEC;
+	fake_join(f, 0);
+	fake_run(f, fake_random(f, 20, 200) * MS);
+	fake_return(f, 0);
+	fake_run(f, 4 * USEC_PER_SEC);
+	return end(f);
+}
+
 static char *new_server_just_before_the_pauses(uint32_t seed)
 {
 	struct fake *f = start(seed);
@@ -222,19 +239,19 @@
 	}
 }
 
-static void check_is_noticed(story_fn story)
+static void check_is_noticed(story_fn story, size_t guard)
 {
 	unsigned n = 0;
 	uint32_t seed;
 
-	without_doubts = true;
+	guard_off = &guard;
 	for (seed = 0; seed < SEEDS; seed++) {
 		char *wrong = story(seed);
 
 		n += *wrong != 0;
 		g_free(wrong);
 	}
-	without_doubts = false;
+	guard_off = NULL;
 	ck_assert_uint_gt(n, 0);
 }
 
@@ -254,9 +271,17 @@
 }
 END_TEST
 
+/* The same in the last moments, when the change can't be called off. */
+START_TEST(test_a_server_that_is_listed_at_last)
+{
+	check_promises(new_server_after_the_platform_was_told);
+}
+END_TEST
+
 START_TEST(test_what_new_servers_say_is_noticed)
 {
-	check_is_noticed(new_server_in_a_change);
+	check_is_noticed(new_server_after_the_platform_was_told,
+			 offsetof(struct relay_guards, doubt_newcomers));
 }
 END_TEST
 
@@ -281,6 +306,13 @@
 }
 END_TEST
 
+START_TEST(test_a_server_that_was_not_paused_is_noticed)
+{
+	check_is_noticed(new_server_just_before_the_pauses,
+			 offsetof(struct relay_guards, claim_after_fence));
+}
+END_TEST
+
 /*
  * A paused replica crashes and comes back with its log under another id,
  * without its pause; then the old primary does, and the two confirm each other.
@@ -313,9 +345,11 @@
 	TCase *tc = tcase_create("newcomers");
 
 	tcase_add_test(tc, test_a_server_that_is_listed_in_a_change);
+	tcase_add_test(tc, test_a_server_that_is_listed_at_last);
 	tcase_add_test(tc, test_what_new_servers_say_is_noticed);
 	tcase_add_test(tc, test_a_server_that_the_changer_sees_late);
 	tcase_add_test(tc, test_a_server_that_the_changer_never_paused);
+	tcase_add_test(tc, test_a_server_that_was_not_paused_is_noticed);
 	tcase_add_test(tc, test_a_pause_that_is_gone_with_its_id);
 	tcase_add_test(tc, test_a_release_in_a_change);
 	tcase_add_test(tc, test_a_promotion_that_takes_effect_late);
