--- a/packages/relay/tests/support_group.h
+++ b/packages/relay/tests/support_group.h
@@ -119,6 +119,7 @@
 	double busy; /* share that servers refuse */
 	double lose_claims;
 	bool lose_words; /* on promotions; they are carried out */
+	unsigned void_promotions; /* but for so many of the next */
 	uint64_t
 		promote_late_us; /* a promotion's call is carried out so late */
 	uint64_t promote_us; /* until a promotion takes effect */
--- a/packages/relay/tests/support_platform.c
+++ b/packages/relay/tests/support_platform.c
@@ -184,6 +184,10 @@
 	f->last_token = call->number;
 	f->last_holder = call->relay;
 	call->accepted = !s->down;
+	if (f->void_promotions) {
+		f->void_promotions--;
+		return;
+	}
 	if (call->accepted)
 		fake_at(f, -1, f->promote_us, promoted_event,
 			g_memdup2(call, sizeof(*call)), g_free);
--- a/packages/relay/tests/test_newcomers.c
+++ b/packages/relay/tests/test_newcomers.c
@@ -225,6 +225,25 @@
 	return end(f);
 }
 
+static char *promotions_that_are_given_up(uint32_t seed)
+{
+	struct fake *f = start(seed);
+
+	f->promote_late_us = fake_random(f, 2000, 3000) * MS;
+	f->promote_us = 1000 * MS;
+	f->lose_words = true;
+	f->void_promotions = seed / 2 % 4;
+	fake_crash(f, 0);
+	run_until(f, PHASE_PROMOTE);
+	fake_run(f, fake_random(f, 0, 3000) * MS);
+	if (seed % 2)
+		fake_restart(f, 0);
+	else
+		fake_return(f, 0);
+	fake_run(f, 14 * USEC_PER_SEC);
+	return end(f);
+}
+
 typedef char *(*story_fn)(uint32_t seed);
 
 static void check_promises(story_fn story)
@@ -340,6 +359,17 @@
 }
 END_TEST
 
+/*
+ * Each try of a promotion goes unanswered, and the first ones come to nothing.
+ * The proxy gives up and lets replicas receive again; the old primary is back,
+ * they confirm it, and then the last try takes effect.
+ */
+START_TEST(test_promotions_that_are_given_up)
+{
+	check_promises(promotions_that_are_given_up);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("newcomers");
@@ -353,5 +383,6 @@
 	tcase_add_test(tc, test_a_pause_that_is_gone_with_its_id);
 	tcase_add_test(tc, test_a_release_in_a_change);
 	tcase_add_test(tc, test_a_promotion_that_takes_effect_late);
+	tcase_add_test(tc, test_promotions_that_are_given_up);
 	return suite_main("newcomers", tc);
 }
