relay: a pause ends only when no promotion can take effect any more

What callers saw: a write at an old primary was told as stored and is gone when a promotion takes effect that everybody had given up.

Cause: how long a pause stands was counted from when a proxy first saw it. A change that gets no answer claims the duty anew for each of four tries, so its last call may be 7 s younger than the pause; and its own proxy forgot, with each new fence, that it had told the platform anything.

Change: a pause also stands for 5 s after the last claim that a proxy knows of, and after the last call of its own. An old primary that comes back ends a change only when that time is over, too.

Why it holds: each call is made within 1.5 s of a claim. The claim that ends a pause fails if another was made since that the proxy doesn't know.

--- a/packages/relay/src/change.c
+++ b/packages/relay/src/change.c
@@ -37,6 +37,12 @@
 	return v->phase > PHASE_CLAIM;
 }
 
+/* Whether a promotion that this proxy asked for may take effect yet. */
+bool rch_is_told(const struct rservice *v, uint64_t now_us)
+{
+	return v->told_us && now_us < v->told_us + PROMOTED_WITHIN_US;
+}
+
 /* When a primary can be expected again, 0 when one is there. */
 uint64_t rch_expected_us(const struct rservice *v)
 {
@@ -266,7 +272,6 @@
 	v->tries = 0;
 	v->fence_term = fence_term(v);
 	v->fenced_us = 0;
-	v->told = false;
 	enter(v, PHASE_FENCE, now_us);
 }
 
@@ -453,7 +458,7 @@
 		return;
 	}
 	v->target = best;
-	v->told = true;
+	v->told_us = r->duty_used_us = now_us;
 	counter_add(r->n_promotions, 1);
 	enter(v, PHASE_PROMOTE, now_us);
 	r->ops->promote(r->ctx, v->name, v->target->info.id, r->token);
@@ -636,15 +641,13 @@
  * comes back ends it only until the platform was told; from then on its lead
  * is over, and what was paused must stay so.
  */
-static bool other_leads(const struct rservice *v)
+static bool other_leads(const struct rservice *v, uint64_t now_us)
 {
-	bool told = v->tries || v->phase >= PHASE_PROMOTE;
-
 	if (!v->primary)
 		return false;
 	if (v->term > v->old_term)
 		return true;
-	return !told && v->primary != v->old;
+	return !rch_is_told(v, now_us) && v->primary != v->old;
 }
 
 /* A status came: it may be what a phase waits for. */
@@ -657,7 +660,7 @@
 		v->stepped_down = true;
 		v->old_position = s->status.received;
 	}
-	if (v->phase != PHASE_WATCH && other_leads(v)) {
+	if (v->phase != PHASE_WATCH && other_leads(v, now_us)) {
 		log_change(v, "done", v->primary->info.id, now_us);
 		v->act_armed = false;
 		enter(v, PHASE_WATCH, now_us);
--- a/packages/relay/src/lead.c
+++ b/packages/relay/src/lead.c
@@ -16,11 +16,8 @@
 #define SAMPLE_EVERY_US (40 * USEC_PER_MSEC)
 #define RENEW_US (150 * USEC_PER_MSEC)
 #define WANTED_US USEC_PER_SEC
-/*
- * A change of primary is over by then: what a server doesn't know of it
- * matters no more. The same as what tidy.c waits before it ends a pause.
- */
-#define DOUBT_US (5 * USEC_PER_SEC)
+/* What a server doesn't know of a change matters no more by then. */
+#define DOUBT_US PROMOTED_WITHIN_US
 
 /*
  * A process that has run for this long was listed before any change of primary
--- a/packages/relay/src/relay.c
+++ b/packages/relay/src/relay.c
@@ -196,6 +196,9 @@
 	if (revision != r->duty_revision) {
 		r->duty_revision = revision;
 		r->duty_changed_us = now_us;
+		/* Also an earlier process of this name may have claimed it. */
+		if (revision != r->token)
+			r->duty_used_us = now_us;
 	}
 	g_free(r->duty_holder);
 	r->duty_holder = g_strdup(holder);
@@ -260,8 +263,8 @@
 	r->claiming = false;
 	log_claimed(r, outcome, revision, now_us);
 	if (outcome == RELAY_CLAIM_DONE) {
-		relay_on_duty(r, revision, r->name, now_us);
 		r->token = revision;
+		relay_on_duty(r, revision, r->name, now_us);
 		r->claimed_us = r->claim_sent_us;
 	} else if (outcome == RELAY_CLAIM_LOST) {
 		if (revision > r->duty_revision)
--- a/packages/relay/src/relay_internal.h
+++ b/packages/relay/src/relay_internal.h
@@ -19,6 +19,12 @@
 
 #define NEVER_US UINT64_MAX
 #define TICK_US (20 * USEC_PER_MSEC)
+/*
+ * A promotion takes effect within this time of its claim, or never: a claim
+ * serves for 1.5 s, the platform may take 1.5 s to be told and a second to
+ * carry it out; and a second more.
+ */
+#define PROMOTED_WITHIN_US (5 * USEC_PER_SEC)
 
 struct rservice;
 struct rserver;
@@ -152,7 +158,6 @@
 	bool alive_elsewhere; /* others reach a primary that fails here */
 	bool act_armed;
 	bool stepped_down; /* the old primary said so */
-	bool told; /* the platform was, in this fence */
 	unsigned n_samples;
 	GPtrArray *homes; /* names of the other homes */
 	GPtrArray *spares; /* names of those next in rank; see via.c */
@@ -186,6 +191,7 @@
 	struct rserver *target;
 	uint64_t fence_term;
 	uint64_t fenced_us;
+	uint64_t told_us; /* the platform was then, 0: never */
 };
 
 enum rrun_state {
@@ -322,6 +328,7 @@
 	uint64_t duty_revision;
 	char *duty_holder;
 	uint64_t duty_changed_us;
+	uint64_t duty_used_us; /* somebody may have told the platform then */
 	bool claiming;
 	uint64_t claimed_us; /* start of the claim that gave the token */
 	uint64_t claim_sent_us;
@@ -514,6 +521,7 @@
 void rch_on_status(struct rserver *s, uint64_t now_us);
 void rch_on_doubt(struct rserver *s, uint64_t now_us);
 bool rch_is_running(const struct rservice *v);
+bool rch_is_told(const struct rservice *v, uint64_t now_us);
 const char *rch_phase_name(enum rphase phase);
 uint64_t rch_expected_us(const struct rservice *v);
 
--- a/packages/relay/src/tidy.c
+++ b/packages/relay/src/tidy.c
@@ -5,29 +5,33 @@
 #include "relay_internal.h"
 
 #define CLAIM_AGAIN_US USEC_PER_SEC
-/*
- * A claim serves for 1.5 s, the platform may take 1.5 s to be told
- * and a second to carry it out; and a second more.
- */
-#define RESUME_AFTER_US (5 * USEC_PER_SEC)
 
-/* Whether the pause is this proxy's own, and the platform was told nothing. */
-static bool is_own_pause(const struct rservice *v, const struct rserver *s)
+/* Whether the pause is this proxy's own, and no promotion can be under way. */
+static bool is_own_pause(const struct rservice *v, const struct rserver *s,
+			 uint64_t now_us)
 {
-	return s->status.held == v->fence_term && !v->told &&
+	return s->status.held == v->fence_term && !rch_is_told(v, now_us) &&
 	       !g_strcmp0(v->relay->duty_holder, v->relay->name);
 }
 
+/* Whether a promotion of another proxy, or of another change, may come yet. */
+static bool may_be_replaced(const struct rserver *s, uint64_t now_us)
+{
+	return now_us < s->held_seen_us + PROMOTED_WITHIN_US ||
+	       now_us < s->relay->duty_used_us + PROMOTED_WITHIN_US;
+}
+
 /*
  * Whether a replica that another change left paused may receive again.
  *
  * Failure: a change runs elsewhere, and this proxy, which the store has not
  * answered since, knows nothing of it. The old primary comes back a moment
  * before the promotion takes effect, a replica is resumed here and confirms
- * it, and what it stores is told as stored and gone. Guard: the pause must be
- * older than a change can last after its claim, and this proxy must have the
- * duty itself: it claims it, which fails when another has claimed since, and
- * which makes the next claim of that other fail.
+ * it, and what it stores is told as stored and gone. Guard: both the
+ * pause and the last claim must be older than a promotion can take after its
+ * claim, since a change claims the duty anew for each try; and this proxy must
+ * have the duty itself: it claims it, which fails when another has claimed
+ * since, and which makes the next claim of that other fail.
  */
 static bool may_resume(struct rservice *v, struct rserver *s, uint64_t now_us)
 {
@@ -40,7 +44,7 @@
 		s->held_seen_us = now_us;
 	}
 	if (rdt_is_others(r, now_us) || !r->duty_known || r->stopping ||
-	    (!is_own_pause(v, s) && now_us < s->held_seen_us + RESUME_AFTER_US))
+	    (!is_own_pause(v, s, now_us) && may_be_replaced(s, now_us)))
 		return false;
 	if (rdt_is_fresh(r, now_us))
 		return true;
