relay: an old primary beside one replica, or alone in the list, red

A proxy that a partition leaves with a primary and one replica goes on while all others have given both up and another server is promoted; and a proxy whose list names one server only relies on it without asking anybody. The histories' proxies hear the store now unless they are deaf to it.

--- a/packages/relay/tests/support_platform.c
+++ b/packages/relay/tests/support_platform.c
@@ -480,6 +480,8 @@
 {
 	struct fake_relay *r = data;
 
+	if (!r->deaf)
+		relay_on_store(r->relay, true, f->now_us);
 	relay_tick(r->relay, f->now_us);
 	fake_at(f, (int)r->index,
 		relay_next_tick_us(r->relay) -
--- a/packages/relay/tests/test_newcomers.c
+++ b/packages/relay/tests/test_newcomers.c
@@ -244,6 +244,68 @@
 	return end(f);
 }
 
+/* The store's side has one replica, the other side all else. */
+static void part(struct fake *f, unsigned lonely, unsigned replica)
+{
+	unsigned i, server;
+
+	f->relays[lonely].deaf = true;
+	f->relays[lonely].list_held = true;
+	for (i = 0; i < N_RELAYS; i++)
+		for (server = 0; server < GROUP_SIZE; server++)
+			fake_cut(f, i, server,
+				 (i == lonely) == (server == replica));
+	for (server = 0; server < GROUP_SIZE; server++)
+		f->servers[server].listed = server == replica;
+	fake_list(f);
+}
+
+static char *servers_that_are_gone_elsewhere(uint32_t seed)
+{
+	struct fake *f = start(seed);
+
+	part(f, seed % N_RELAYS, 1 + seed / N_RELAYS % 2);
+	fake_run(f, 14 * USEC_PER_SEC);
+	return end(f);
+}
+
+static void list_alone(struct fake *f, unsigned relay, unsigned server)
+{
+	struct fake_server *s = &f->servers[server];
+	struct relay_server_info info = { .id = s->id,
+					  .service = s->service,
+					  .host = "10.0.0.1",
+					  .port = 1,
+					  .zone = "a",
+					  .role = s->role,
+					  .slots = FAKE_SLOTS,
+					  .born_ms = s->born_ms };
+
+	relay_on_servers(f->relays[relay].relay, &info, 1, f->now_us);
+}
+
+static char *list_with_the_old_primary_alone(uint32_t seed)
+{
+	struct fake *f = fake_create(seed, N_RELAYS, 1);
+	unsigned i, last = N_RELAYS - 1;
+
+	f->promote_us = 300 * MS + seed % 8 * 100 * MS;
+	f->relays[last].list_held = true;
+	fake_run(f, 6 * USEC_PER_SEC);
+	for (i = 0; i < N_RELAYS; i++) {
+		callers[i] = hist_open(f, i, 0, RELAY_KIND_PRIMARY);
+		callers[i]->next = next_event;
+		next_event(f, callers[i]);
+	}
+	fake_crash(f, 0);
+	run_until(f, PHASE_PROMOTE);
+	for (i = 0; i < last; i++)
+		f->relays[i].list_held = true;
+	list_alone(f, last, fake_return(f, 0));
+	fake_run(f, 4 * USEC_PER_SEC);
+	return end(f);
+}
+
 typedef char *(*story_fn)(uint32_t seed);
 
 static void check_promises(story_fn story)
@@ -370,6 +432,29 @@
 }
 END_TEST
 
+/*
+ * A partition leaves a proxy with the primary and one replica, without the
+ * store. For all others both are gone after some seconds, and the last replica
+ * is promoted; what the old primary goes on to store is thrown away when the
+ * partition ends.
+ */
+START_TEST(test_servers_that_are_gone_elsewhere)
+{
+	check_promises(servers_that_are_gone_elsewhere);
+}
+END_TEST
+
+/*
+ * A proxy has just started, and of a service's servers the list has one alone:
+ * the old primary, which came back while another is promoted. The entries of
+ * the others lapsed in an outage of the store.
+ */
+START_TEST(test_a_list_with_the_old_primary_alone)
+{
+	check_promises(list_with_the_old_primary_alone);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("newcomers");
@@ -384,5 +469,7 @@
 	tcase_add_test(tc, test_a_release_in_a_change);
 	tcase_add_test(tc, test_a_promotion_that_takes_effect_late);
 	tcase_add_test(tc, test_promotions_that_are_given_up);
+	tcase_add_test(tc, test_servers_that_are_gone_elsewhere);
+	tcase_add_test(tc, test_a_list_with_the_old_primary_alone);
 	return suite_main("newcomers", tc);
 }
