relay: a lone server that may be new is not relied on in a change

What callers saw: a write at an old primary, told as stored, was gone with a promotion; their proxy had started a moment before and its list named that server alone.

Cause: a service with one server can't change its primary, so that one was relied on without asking anybody. But a list may lack the others: entries lapse in an outage of the store and are back within 2 s, and a process restarts at any moment.

Change: while the one server may be new (not in the first list, or its process is younger than 15 s) and the duty was claimed within 5 s as far as is known, it is not relied on. A service that has one server only is stopped by this for 5 s at most, when it restarts beside a change of another.

The tests' proxies are told by fake_store() whether the store answers; test_homes and test_metrics, which called the relay themselves, say so that way and ask for the same.

--- a/packages/relay/src/lead.c
+++ b/packages/relay/src/lead.c
@@ -42,6 +42,26 @@
 	return false;
 }
 
+static bool is_doubted(const struct rserver *s, uint64_t now_us)
+{
+	return s->doubted_us && now_us < s->doubted_us + DOUBT_US;
+}
+
+/*
+ * Failure: a proxy has just started, or the entries of all but one server
+ * lapsed in an outage of the store, and that one is an old primary which came
+ * back while another is promoted. It shows as writes there that are told as
+ * stored and are gone. Guard: a lone server that may be new is not relied on
+ * while a promotion may be under way.
+ */
+static bool may_have_hidden_others(const struct rservice *v, uint64_t at_us)
+{
+	const struct rserver *p = v->primary;
+
+	return p->relay->guards.doubt_newcomers && is_doubted(p, at_us) &&
+	       at_us < p->relay->duty_used_us + PROMOTED_WITHIN_US;
+}
+
 /*
  * Whether nobody else can have become primary before at_us. A server without
  * others beside it can't be replaced.
@@ -51,7 +71,7 @@
 	if (!v->primary)
 		return false;
 	if (!has_others(v))
-		return true;
+		return !may_have_hidden_others(v, at_us);
 	return at_us < v->confirmed_us + v->relay->settings.authority_us;
 }
 
@@ -235,11 +255,6 @@
 	set_primary(v, s, now_us);
 }
 
-static bool is_doubted(const struct rserver *s, uint64_t now_us)
-{
-	return s->doubted_us && now_us < s->doubted_us + DOUBT_US;
-}
-
 /*
  * Whether all other replicas know of no change, each asked after the time. One
  * of them is the server that a change would promote, and it would know.
--- a/packages/relay/tests/support_group.h
+++ b/packages/relay/tests/support_group.h
@@ -164,6 +164,7 @@
 void fake_leave(struct fake *f, unsigned server, uint64_t drain_us);
 void fake_cut(struct fake *f, unsigned relay, unsigned server, bool cut);
 void fake_freeze(struct fake *f, unsigned relay, uint64_t us);
+void fake_store(struct fake *f, unsigned relay, bool answers);
 void fake_list(struct fake *f);
 void fake_heal(struct fake *f);
 bool fake_log_has(const struct fake *f, const struct fake_server *s,
--- a/packages/relay/tests/support_platform.c
+++ b/packages/relay/tests/support_platform.c
@@ -459,6 +459,13 @@
 	f->relays[relay].frozen_until_us = f->now_us + us;
 }
 
+/* Whether the store answers the relay; it hears of nothing else either. */
+void fake_store(struct fake *f, unsigned relay, bool answers)
+{
+	f->relays[relay].deaf = !answers;
+	relay_on_store(f->relays[relay].relay, answers, f->now_us);
+}
+
 /* All faults end. */
 void fake_heal(struct fake *f)
 {
--- a/packages/relay/tests/test_homes.c
+++ b/packages/relay/tests/test_homes.c
@@ -590,7 +590,7 @@
 		fake_cut(f, i, 1, true);
 		fake_cut(f, i, 2, true);
 		fake_cut(f, i + 2, 0, true);
-		relay_on_store(f->relays[i].relay, false, f->now_us);
+		fake_store(f, i, false);
 	}
 }
 
@@ -625,7 +625,7 @@
 	ck_assert(relay_is_ready(f->relays[2].relay));
 	fake_heal(f);
 	for (i = 0; i < 2; i++)
-		relay_on_store(f->relays[i].relay, true, f->now_us);
+		fake_store(f, i, true);
 	fake_run(f, 2 * USEC_PER_SEC);
 	ck_assert(relay_is_ready(f->relays[0].relay));
 	s = hist_open(f, 0, 0, RELAY_KIND_PRIMARY);
@@ -648,7 +648,7 @@
 	ck_assert_int_eq(hist_run(f, s, RELAY_WRITE, "", "1"), RELAY_OK);
 	f->lose_claims = 1;
 	for (i = 0; i < 4; i++)
-		relay_on_store(f->relays[i].relay, false, f->now_us);
+		fake_store(f, i, false);
 	fake_crash(f, 0);
 	write_in_vain(f, s, 2 * USEC_PER_SEC);
 	ck_assert(s->open);
--- a/packages/relay/tests/test_metrics.c
+++ b/packages/relay/tests/test_metrics.c
@@ -220,7 +220,7 @@
 	unsigned i;
 
 	fake_run(f, USEC_PER_SEC);
-	relay_on_store(f->relays[0].relay, true, f->now_us);
+	fake_store(f, 0, true);
 	relay_on_store_call(f->relays[0].relay, 4 * MS);
 	s = hist_open(f, 0, 0, RELAY_KIND_PRIMARY);
 	for (i = 0; i < 5; i++)
@@ -238,6 +238,7 @@
 	ck_assert_uint_eq(value("celeryquay_relay_store_call_seconds_count{}"),
 			  1);
 	end_metrics();
+	f->relays[0].deaf = true;
 	fake_crash(f, 0);
 	fake_run(f, 400 * MS);
 	hist_run(f, s, RELAY_WRITE, "", "1");
