relay: a replica's word counts alone only while its place in the list is fresh

What callers saw: a partition leaves a proxy with a primary and a replica, and without the store. Writes there were told as stored for seconds after all others had given both servers up and promoted another, and were gone when the partition ended.

Cause: who replaces a primary waits for a server that left the list for gone_after_ms (5.5 s) and then does without its pause. A proxy that doesn't hear the store never learns that the server has left.

Change: when the store was last heard more than half of gone_after_ms ago, or the server has been off the list that long, its word counts only together with that of every server that a change could promote, and the lease counts from the earliest of these. Servers that are told to leave, and those whose address another has by now, can't be promoted and are not waited for.

Weighed and left: to count a server that refuses connections as gone, since a partition may refuse them too. The price is a service whose replica is down for more than 2.8 s of an outage of the store: no writes until either ends. An outage alone costs a status of each replica every 600 ms.

--- a/packages/relay/src/lead.c
+++ b/packages/relay/src/lead.c
@@ -219,6 +219,7 @@
 void rld_on_doubt(struct rserver *s, uint64_t now_us)
 {
 	s->doubted_us = now_us;
+	s->agreed_us = 0;
 	rld_drop(s, now_us);
 	rld_ask(s->service);
 }
@@ -256,23 +257,61 @@
 }
 
 /*
- * Whether all other replicas know of no change, each asked after the time. One
- * of them is the server that a change would promote, and it would know.
+ * Failure: a partition leaves this proxy with an old primary and a replica, and
+ * without the store. On the other side both have left the list, and a server
+ * is promoted that was never fenced against this replica. It shows as writes
+ * that are told as stored and are gone when the partition ends. Guard: a word
+ * counts alone only while it is certain that no other proxy has given the
+ * server up, which takes gone_after_us from when it left the list; half of
+ * that leaves room for a lease, and for news that are late.
  */
-static bool others_agree(const struct rserver *s, uint64_t after_us)
+static bool counts_elsewhere(const struct rserver *s, uint64_t now_us)
 {
-	const struct rservice *v = s->service;
+	const struct relay *r = s->relay;
+	uint64_t within_us = r->settings.gone_after_us / 2;
+
+	if (!r->guards.check_list_age)
+		return true;
+	return (s->listed || now_us < s->unlisted_us + within_us) &&
+	       now_us < r->store_heard_us + within_us;
+}
+
+/* One that is told to leave, or whose address another has, isn't promoted. */
+static bool can_be_promoted(const struct rserver *s)
+{
+	return s != s->service->primary && !s->info.leaving && !s->moved;
+}
+
+/*
+ * When all that a change could promote last knew of none: the earliest of their
+ * words, 0 when one of them doesn't say so.
+ */
+static uint64_t all_agreed_us(const struct rservice *v)
+{
+	uint64_t earliest_us = NEVER_US;
 	unsigned i;
 
 	for (i = 0; i < v->servers->len; i++) {
-		const struct rserver *o = rservice_server(v, i);
+		const struct rserver *s = rservice_server(v, i);
 
-		if (o == s || o == v->primary)
+		if (!can_be_promoted(s))
 			continue;
-		if (o->agreed_term != v->term || o->agreed_us <= after_us)
-			return false;
+		if (s->agreed_term != v->term)
+			return 0;
+		earliest_us = MIN(earliest_us, s->agreed_us);
 	}
-	return true;
+	return earliest_us == NEVER_US ? 0 : earliest_us;
+}
+
+/* From when a lease counts that rests on a replica's word, 0: on none. */
+static uint64_t word_us(const struct rserver *s, uint64_t now_us)
+{
+	uint64_t agreed_us;
+
+	if (!is_doubted(s, now_us) && counts_elsewhere(s, now_us))
+		return s->agreed_us;
+	agreed_us = all_agreed_us(s->service);
+	return agreed_us > s->doubted_us ? agreed_us : 0;
 }
 
 static void note_replica(struct rserver *s, uint64_t started_us,
@@ -290,8 +329,7 @@
 		return;
 	s->agreed_us = started_us;
 	s->agreed_term = v->term;
-	if (!is_doubted(s, now_us) || others_agree(s, s->doubted_us))
-		confirm(s, BY_STATUS, started_us, now_us);
+	confirm(s, BY_STATUS, word_us(s, now_us), now_us);
 }
 
 /* Takes in the status that the server gave to a probe sent at started_us. */
@@ -361,7 +399,8 @@
 		return;
 	sample = newest_covered(v, p);
 	s->lag_us = sample ? now_us - MIN(sample->us, now_us) : NEVER_US;
-	if (s->status.held <= v->term && !is_doubted(s, now_us))
+	if (s->status.held <= v->term && !is_doubted(s, now_us) &&
+	    counts_elsewhere(s, now_us))
 		note_unpaused(s, p, now_us);
 }
 
--- a/packages/relay/src/relay_internal.h
+++ b/packages/relay/src/relay_internal.h
@@ -286,6 +286,7 @@
 	bool doubt_reborn; /* what a server knew before its start is gone */
 	bool claim_after_fence; /* no server is missing in the fence */
 	bool doubt_newcomers; /* who was just listed may know of no change */
+	bool check_list_age; /* a word may count here alone */
 	bool leave_when_cut_off; /* callers go to proxies that can serve */
 };
 
--- a/packages/relay/tests/test_histories.c
+++ b/packages/relay/tests/test_histories.c
@@ -187,9 +187,10 @@
 
 /*
  * Each guard in turn, by its place in struct relay_guards. The first and the
- * last eight have tests of their own: confirm_writes, fresh_claim and
+ * last nine have tests of their own: confirm_writes, fresh_claim and
  * resume_under_duty in test_change; doubt_reborn in test_reborn;
- * claim_after_fence and doubt_newcomers in test_newcomers;
+ * claim_after_fence, doubt_newcomers and check_list_age in
+ * test_newcomers;
  * avoid_outliers, limit_in_flight and leave_when_cut_off, which no promise
  * rests on, in test_routing, test_overload and test_homes.
  */
@@ -198,7 +199,7 @@
 	"check_floor",	   "clean_values",	  "no_second_write_try",
 	"fresh_claim",	   "resume_under_duty",	  "avoid_outliers",
 	"limit_in_flight", "doubt_reborn",	  "claim_after_fence",
-	"doubt_newcomers", "leave_when_cut_off",
+	"doubt_newcomers", "check_list_age",	  "leave_when_cut_off",
 };
 
 #define GUARD_SEEDS 400
@@ -242,6 +243,6 @@
 	g_log_set_writer_func(no_log, NULL, NULL);
 	tcase_add_test(tc, test_days_keep_their_promises);
 	tcase_add_loop_test(tc, test_days_notice_a_missing_guard, 1,
-			    G_N_ELEMENTS(guards) - 8);
+			    G_N_ELEMENTS(guards) - 9);
 	return suite_main("histories", tc);
 }
--- a/packages/relay/tests/test_newcomers.c
+++ b/packages/relay/tests/test_newcomers.c
@@ -444,6 +444,13 @@
 }
 END_TEST
 
+START_TEST(test_servers_that_are_gone_are_noticed)
+{
+	check_is_noticed(servers_that_are_gone_elsewhere,
+			 offsetof(struct relay_guards, check_list_age));
+}
+END_TEST
+
 /*
  * A proxy has just started, and of a service's servers the list has one alone:
  * the old primary, which came back while another is promoted. The entries of
@@ -470,6 +477,7 @@
 	tcase_add_test(tc, test_a_promotion_that_takes_effect_late);
 	tcase_add_test(tc, test_promotions_that_are_given_up);
 	tcase_add_test(tc, test_servers_that_are_gone_elsewhere);
+	tcase_add_test(tc, test_servers_that_are_gone_are_noticed);
 	tcase_add_test(tc, test_a_list_with_the_old_primary_alone);
 	return suite_main("newcomers", tc);
 }
