relay: a planned change that never ends, red

A primary has stepped down as planned and one replica can't be reached by the proxy that replaces it.

--- a/packages/relay/tests/test_newcomers.c
+++ b/packages/relay/tests/test_newcomers.c
@@ -306,6 +306,41 @@
 	return end(f);
 }
 
+static char *planned_change_with_an_unreached_replica(uint32_t seed)
+{
+	struct fake *f = start(seed);
+	unsigned acked;
+	char *wrong;
+
+	fake_cut(f, seed % N_RELAYS, 2, true);
+	f->servers[0].leaving = true;
+	fake_list(f);
+	fake_run(f, 10 * USEC_PER_SEC);
+	acked = hist_acknowledged(f);
+	fake_run(f, USEC_PER_SEC);
+	if (hist_acknowledged(f) > acked)
+		return end(f);
+	wrong = end(f);
+	g_free(wrong);
+	return g_strdup("nothing is stored for 10 s");
+}
+
+static char *step_down_that_is_forgotten_late(uint32_t seed)
+{
+	struct fake *f = start(seed);
+	unsigned i;
+
+	for (i = 0; i < N_RELAYS; i++)
+		fake_cut(f, i, 2, i == seed % N_RELAYS);
+	f->servers[0].leaving = true;
+	fake_list(f);
+	run_until(f, PHASE_PROMOTE);
+	fake_run(f, fake_random(f, 0, 300) * MS);
+	fake_reborn(f, 0, true);
+	fake_run(f, 4 * USEC_PER_SEC);
+	return end(f);
+}
+
 typedef char *(*story_fn)(uint32_t seed);
 
 static void check_promises(story_fn story)
@@ -462,6 +497,27 @@
 }
 END_TEST
 
+/*
+ * A primary steps down as planned, and the proxy that replaces it can't reach
+ * one replica. It made the fence anew each time, and nobody led for as long.
+ */
+START_TEST(test_a_replica_that_is_not_reached)
+{
+	check_promises(planned_change_with_an_unreached_replica);
+}
+END_TEST
+
+/*
+ * In the same change the old primary starts again just before the promotion,
+ * has forgotten that it stepped down, and the replica that was not paused
+ * confirms it to others.
+ */
+START_TEST(test_a_step_down_that_is_forgotten_late)
+{
+	check_promises(step_down_that_is_forgotten_late);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("newcomers");
@@ -479,5 +535,7 @@
 	tcase_add_test(tc, test_servers_that_are_gone_elsewhere);
 	tcase_add_test(tc, test_servers_that_are_gone_are_noticed);
 	tcase_add_test(tc, test_a_list_with_the_old_primary_alone);
+	tcase_add_test(tc, test_a_replica_that_is_not_reached);
+	tcase_add_test(tc, test_a_step_down_that_is_forgotten_late);
 	return suite_main("newcomers", tc);
 }
