relay: a planned change ends when a replica can't be paused

Cause: catching up waited 2 s for the pauses and then went on without them. Since the fence must be whole, that made it anew each time.

Change: the change gives up, and another proxy, which may reach the replica, begins its own 3 s after the claim. A replica that refuses connections is not waited for there: it takes both it and the old primary to start anew, and who comes back is in doubt everywhere. Replicas that a second fence paused in a term above the new primary's receive again at once when the target leads, since no other promotion of this proxy's can come; they stayed paused for 5 s, and nobody could confirm the new primary.

--- a/packages/relay/src/change.c
+++ b/packages/relay/src/change.c
@@ -272,6 +272,7 @@
 	v->tries = 0;
 	v->fence_term = fence_term(v);
 	v->fenced_us = 0;
+	v->told_before = rch_is_told(v, now_us);
 	enter(v, PHASE_FENCE, now_us);
 }
 
@@ -294,11 +295,18 @@
 	return s != v->old && !s->moved && (s->listed || rsv_is_up(s));
 }
 
-/* After the platform was told, the target is the primary at any moment. */
+/*
+ * After the platform was told, the target is the primary at any moment. Beside
+ * an old primary that stepped down, a replica whose process is gone is not
+ * waited for: who comes back there is in doubt everywhere, and it takes both to
+ * start anew to be relied on.
+ */
 static bool must_be_paused(const struct rservice *v, const struct rserver *s)
 {
 	if (s == v->target && v->phase >= PHASE_PROMOTE)
 		return false;
+	if (s->refused && v->stepped_down)
+		return false;
 	return may_confirm(v, s) && !is_paused(v, s);
 }
 
@@ -435,12 +443,13 @@
 	 * the new primary stores. Or it starts anew, has forgotten the
 	 * step-down, and is confirmed by replicas: what it stores is gone.
 	 * Guard: replicas are paused too, and the leases run out before the
-	 * promotion can take effect.
+	 * promotion can take effect. Another proxy may reach the replica that
+	 * this one can't.
 	 */
-	if (v->relay->guards.doubt_reborn && !pause_others(v, now_us) &&
-	    now_us < v->phase_us + CATCH_UP_LIMIT_US)
-		return;
-	fenced(v, now_us);
+	if (!v->relay->guards.doubt_reborn || pause_others(v, now_us))
+		fenced(v, now_us);
+	else if (now_us > v->phase_us + CATCH_UP_LIMIT_US)
+		give_up(v, "a replica could not be paused", now_us);
 }
 
 static void promote(struct rservice *v, uint64_t now_us)
@@ -662,6 +671,15 @@
 	}
 	if (v->phase != PHASE_WATCH && other_leads(v, now_us)) {
 		log_change(v, "done", v->primary->info.id, now_us);
+		/*
+		 * All tries under one fence name the same target, so no other
+		 * promotion of this proxy's is still to come. Or replicas that
+		 * were paused in a term above the new one, as by a second
+		 * fence, would stay so for seconds, and nobody could confirm
+		 * the new primary.
+		 */
+		if (v->primary == v->target && !v->told_before)
+			v->told_us = 0;
 		v->act_armed = false;
 		enter(v, PHASE_WATCH, now_us);
 	}
--- a/packages/relay/src/relay_internal.h
+++ b/packages/relay/src/relay_internal.h
@@ -192,6 +192,7 @@
 	uint64_t fence_term;
 	uint64_t fenced_us;
 	uint64_t told_us; /* the platform was then, 0: never */
+	bool told_before; /* and may act yet on what an earlier fence was for */
 };
 
 enum rrun_state {
