--- a/packages/relay/src/change.c
+++ b/packages/relay/src/change.c
@@ -34,7 +34,9 @@
 /* Whether this proxy is replacing the service's primary. */
 bool rch_is_running(const struct rservice *v)
 {
-	return v->phase > PHASE_CLAIM;
+	if (v->phase == PHASE_CLAIM) /* the second of a change */
+		return v->fenced_us || v->stepped_down;
+	return v->phase != PHASE_WATCH;
 }
 
 /* Whether a promotion that this proxy asked for may take effect yet. */
--- /dev/null
+++ b/packages/relay/tests/support_story.c
@@ -0,0 +1,147 @@
+#include "support_story.h"
+
+#include <check.h>
+
+#define CHANGE_LIMIT_US (20 * USEC_PER_SEC)
+#define REST_US (9 * USEC_PER_SEC)
+
+/* The guard that the proxies go without, by its place. */
+static size_t guard_off = STORY_ALL_GUARDS;
+
+static void next_event(struct fake *f, void *data)
+{
+	struct hist_session *s = data;
+
+	if (s->open && s->state != 'I')
+		hist_start(f, s, RELAY_ROLLBACK, "", "");
+	else if (s->open)
+		hist_start(f, s, fake_chance(f, 0.5) ? RELAY_WRITE : RELAY_READ,
+			   "", "1");
+}
+
+/* One at each proxy. */
+void story_callers_come(struct fake *f)
+{
+	unsigned i;
+
+	for (i = 0; i < STORY_RELAYS; i++) {
+		struct hist_session *s = hist_open(f, i, 0, RELAY_KIND_PRIMARY);
+
+		s->next = next_event;
+		next_event(f, s);
+	}
+}
+
+static void switch_guard_off(struct fake *f)
+{
+	unsigned i;
+
+	if (guard_off == STORY_ALL_GUARDS)
+		return;
+	for (i = 0; i < STORY_RELAYS; i++)
+		((bool *)relay_guards_of(f->relays[i].relay))[guard_off] =
+			false;
+}
+
+/* Promotions take 300 to 1,000 ms, by the seed. */
+struct fake *story_start(uint32_t seed, uint64_t settle_us)
+{
+	struct fake *f = fake_create(seed, STORY_RELAYS, 1);
+
+	switch_guard_off(f);
+	f->promote_us = 300 * MS + seed % 8 * 100 * MS;
+	fake_run(f, settle_us);
+	return f;
+}
+
+/* All heals; what was wrong until a while after that. */
+char *story_end(struct fake *f)
+{
+	unsigned acked, i;
+	char *wrong;
+
+	for (i = 0; i < f->n_relays; i++) {
+		f->relays[i].list_lag_us = 0;
+		f->relays[i].list_held = false;
+		f->relays[i].deaf = false;
+	}
+	fake_heal(f);
+	fake_list(f);
+	fake_run(f, REST_US);
+	acked = hist_acknowledged(f);
+	fake_run(f, USEC_PER_SEC);
+	wrong = g_strdup(hist_check(f));
+	if (!*wrong && hist_acknowledged(f) < acked + 50) {
+		g_free(wrong);
+		wrong = g_strdup("nothing is stored any more");
+	}
+	fake_destroy(f);
+	return wrong;
+}
+
+/* The relay that replaces the primary and has come that far, or -1. */
+static int changer_in(const struct fake *f, enum rphase phase)
+{
+	unsigned i;
+
+	for (i = 0; i < f->n_relays; i++) {
+		const struct rservice *v = g_hash_table_lookup(
+			f->relays[i].relay->services, "group0");
+
+		if (v->phase == phase)
+			return (int)i;
+	}
+	return -1;
+}
+
+/* Looks each millisecond. */
+int story_run_until(struct fake *f, enum rphase phase)
+{
+	uint64_t limit_us = f->now_us + CHANGE_LIMIT_US;
+
+	while (changer_in(f, phase) < 0 && f->now_us < limit_us)
+		fake_run(f, MS);
+	return changer_in(f, phase);
+}
+
+static const enum rphase phases[] = { PHASE_FENCE, PHASE_HOLD, PHASE_PROMOTE,
+				      PHASE_SETTLE };
+
+/* The proxy that came there, or -1. */
+int story_run_into_a_phase(struct fake *f, uint32_t seed)
+{
+	int changer = story_run_until(f, phases[seed % G_N_ELEMENTS(phases)]);
+
+	fake_run(f, fake_random(f, 0, 200) * MS);
+	return changer;
+}
+
+/* Each seed keeps them. */
+void story_check_promises(story_fn story)
+{
+	uint32_t seed;
+
+	for (seed = 0; seed < STORY_SEEDS; seed++) {
+		char *wrong = story(seed);
+
+		ck_assert_msg(!*wrong, "seed %u: %s", seed, wrong);
+		g_free(wrong);
+	}
+}
+
+/* One seed is enough. */
+void story_check_is_noticed(story_fn story, size_t guard)
+{
+	bool noticed = false;
+	uint32_t seed;
+
+	guard_off = guard;
+	for (seed = 0; seed < STORY_SEEDS && !noticed; seed++) {
+		char *wrong = story(seed);
+
+		noticed = *wrong;
+		g_free(wrong);
+	}
+	guard_off = STORY_ALL_GUARDS;
+	ck_assert_msg(noticed, "no seed shows what the guard is for");
+}
--- /dev/null
+++ b/packages/relay/tests/test_late_news.c
@@ -0,0 +1,231 @@
+#include "support_story.h"
+
+#include <celeryquay/suite.h>
+
+/*
+ * What a proxy hears late or not at all while a primary is replaced: of the
+ * platform's word, of the list, of a replica.
+ */
+
+static struct fake *start(uint32_t seed)
+{
+	struct fake *f = story_start(seed, 6 * USEC_PER_SEC);
+
+	story_callers_come(f);
+	fake_run(f, USEC_PER_SEC);
+	return f;
+}
+
+static char *promotion_that_takes_effect_late(uint32_t seed)
+{
+	struct fake *f = start(seed);
+
+	f->promote_late_us = fake_random(f, 300, 1200) * MS;
+	f->promote_us = 1000 * MS;
+	fake_crash(f, 0);
+	story_run_until(f, PHASE_PROMOTE);
+	f->lose_claims = 1;
+	fake_run(f, fake_random(f, 0, 1500) * MS);
+	if (seed % 2)
+		fake_join(f, 0);
+	fake_return(f, 0);
+	fake_run(f, 6 * USEC_PER_SEC);
+	return story_end(f);
+}
+
+static char *promotions_that_are_given_up(uint32_t seed)
+{
+	struct fake *f = start(seed);
+
+	f->promote_late_us = fake_random(f, 2000, 3000) * MS;
+	f->promote_us = 1000 * MS;
+	f->lose_words = true;
+	f->void_promotions = seed / 2 % 4;
+	fake_crash(f, 0);
+	story_run_until(f, PHASE_PROMOTE);
+	fake_run(f, fake_random(f, 0, 3000) * MS);
+	if (seed % 2)
+		fake_restart(f, 0);
+	else
+		fake_return(f, 0);
+	fake_run(f, 14 * USEC_PER_SEC);
+	return story_end(f);
+}
+
+/* The store's side has one replica, the other side all else. */
+static void part(struct fake *f, unsigned lonely, unsigned replica)
+{
+	unsigned i, server;
+
+	f->relays[lonely].deaf = true;
+	f->relays[lonely].list_held = true;
+	for (i = 0; i < STORY_RELAYS; i++)
+		for (server = 0; server < GROUP_SIZE; server++)
+			fake_cut(f, i, server,
+				 (i == lonely) == (server == replica));
+	for (server = 0; server < GROUP_SIZE; server++)
+		f->servers[server].listed = server == replica;
+	fake_list(f);
+}
+
+static char *servers_that_are_gone_elsewhere(uint32_t seed)
+{
+	struct fake *f = start(seed);
+
+	part(f, seed % STORY_RELAYS, 1 + seed / STORY_RELAYS % 2);
+	fake_run(f, 14 * USEC_PER_SEC);
+	return story_end(f);
+}
+
+static void list_alone(struct fake *f, unsigned relay, unsigned server)
+{
+	struct fake_server *s = &f->servers[server];
+	struct relay_server_info info = { .id = s->id,
+					  .service = s->service,
+					  .host = "10.0.0.1",
+					  .port = 1,
+					  .zone = "a",
+					  .role = s->role,
+					  .slots = FAKE_SLOTS,
+					  .born_ms = s->born_ms };
+
+	relay_on_servers(f->relays[relay].relay, &info, 1, f->now_us);
+}
+
+static char *list_with_the_old_primary_alone(uint32_t seed)
+{
+	struct fake *f = story_start(seed, 0);
+	unsigned i, last = STORY_RELAYS - 1;
+
+	f->relays[last].list_held = true;
+	fake_run(f, 6 * USEC_PER_SEC);
+	story_callers_come(f);
+	fake_crash(f, 0);
+	story_run_until(f, PHASE_PROMOTE);
+	for (i = 0; i < last; i++)
+		f->relays[i].list_held = true;
+	list_alone(f, last, fake_return(f, 0));
+	fake_run(f, 4 * USEC_PER_SEC);
+	return story_end(f);
+}
+
+static char *planned_change_with_an_unreached_replica(uint32_t seed)
+{
+	struct fake *f = start(seed);
+	unsigned acked;
+	char *wrong;
+
+	fake_cut(f, seed % STORY_RELAYS, 2, true);
+	f->servers[0].leaving = true;
+	fake_list(f);
+	fake_run(f, 10 * USEC_PER_SEC);
+	acked = hist_acknowledged(f);
+	fake_run(f, USEC_PER_SEC);
+	if (hist_acknowledged(f) > acked)
+		return story_end(f);
+	wrong = story_end(f);
+	g_free(wrong);
+	return g_strdup("nothing is stored for 10 s");
+}
+
+static char *step_down_that_is_forgotten_late(uint32_t seed)
+{
+	struct fake *f = start(seed);
+	unsigned i;
+
+	for (i = 0; i < STORY_RELAYS; i++)
+		fake_cut(f, i, 2, i == seed % STORY_RELAYS);
+	f->servers[0].leaving = true;
+	fake_list(f);
+	story_run_until(f, PHASE_PROMOTE);
+	fake_run(f, fake_random(f, 0, 300) * MS);
+	fake_reborn(f, 0, true);
+	fake_run(f, 4 * USEC_PER_SEC);
+	return story_end(f);
+}
+
+/*
+ * The platform is told of a promotion and its answer is lost; it takes effect
+ * when the change was given up, and an old primary serves again by then.
+ */
+START_TEST(test_a_promotion_that_takes_effect_late)
+{
+	story_check_promises(promotion_that_takes_effect_late);
+}
+END_TEST
+
+/*
+ * Each try of a promotion goes unanswered, and the first ones come to nothing.
+ * The proxy gives up and lets replicas receive again; the old primary is back,
+ * they confirm it, and then the last try takes effect.
+ */
+START_TEST(test_promotions_that_are_given_up)
+{
+	story_check_promises(promotions_that_are_given_up);
+}
+END_TEST
+
+/*
+ * A partition leaves a proxy with the primary and one replica, without the
+ * store. For all others both are gone after some seconds, and the last replica
+ * is promoted; what the old primary goes on to store is thrown away when the
+ * partition ends.
+ */
+START_TEST(test_servers_that_are_gone_elsewhere)
+{
+	story_check_promises(servers_that_are_gone_elsewhere);
+}
+END_TEST
+
+START_TEST(test_servers_that_are_gone_are_noticed)
+{
+	story_check_is_noticed(servers_that_are_gone_elsewhere,
+			       offsetof(struct relay_guards, check_list_age));
+}
+END_TEST
+
+/*
+ * A proxy has just started, and of a service's servers the list has one alone:
+ * the old primary, which came back while another is promoted. The entries of
+ * the others lapsed in an outage of the store.
+ */
+START_TEST(test_a_list_with_the_old_primary_alone)
+{
+	story_check_promises(list_with_the_old_primary_alone);
+}
+END_TEST
+
+/*
+ * A primary steps down as planned, and the proxy that replaces it can't reach
+ * one replica. It made the fence anew each time, and nobody led for as long.
+ */
+START_TEST(test_a_replica_that_is_not_reached)
+{
+	story_check_promises(planned_change_with_an_unreached_replica);
+}
+END_TEST
+
+/*
+ * In the same change the old primary starts again just before the promotion,
+ * has forgotten that it stepped down, and the replica that was not paused
+ * confirms it to others.
+ */
+START_TEST(test_a_step_down_that_is_forgotten_late)
+{
+	story_check_promises(step_down_that_is_forgotten_late);
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tc = tcase_create("late_news");
+
+	tcase_add_test(tc, test_a_promotion_that_takes_effect_late);
+	tcase_add_test(tc, test_promotions_that_are_given_up);
+	tcase_add_test(tc, test_servers_that_are_gone_elsewhere);
+	tcase_add_test(tc, test_servers_that_are_gone_are_noticed);
+	tcase_add_test(tc, test_a_list_with_the_old_primary_alone);
+	tcase_add_test(tc, test_a_replica_that_is_not_reached);
+	tcase_add_test(tc, test_a_step_down_that_is_forgotten_late);
+	return suite_main("late_news", tc);
+}
