--- a/packages/relay/tests/support_story.c
+++ b/packages/relay/tests/support_story.c
@@ -79,18 +79,20 @@
 	return wrong;
 }
 
+/* The group as a relay sees it. */
+const struct rservice *story_service(const struct fake *f, unsigned relay)
+{
+	return g_hash_table_lookup(f->relays[relay].relay->services, "group0");
+}
+
 /* The relay that replaces the primary and has come that far, or -1. */
 static int changer_in(const struct fake *f, enum rphase phase)
 {
 	unsigned i;
 
-	for (i = 0; i < f->n_relays; i++) {
-		const struct rservice *v = g_hash_table_lookup(
-			f->relays[i].relay->services, "group0");
-
-		if (v->phase == phase)
+	for (i = 0; i < f->n_relays; i++)
+		if (story_service(f, i)->phase == phase)
 			return (int)i;
-	}
 	return -1;
 }
 
--- a/packages/relay/tests/support_story.h
+++ b/packages/relay/tests/support_story.h
@@ -22,6 +22,7 @@
 struct fake *story_start(uint32_t seed, uint64_t settle_us);
 void story_callers_come(struct fake *f);
 char *story_end(struct fake *f);
+const struct rservice *story_service(const struct fake *f, unsigned relay);
 /* The proxy that comes to that phase first, -1: none does in 20 s. */
 int story_run_until(struct fake *f, enum rphase phase);
 /* Into one of the phases, drawn from the seed, and up to 200 ms on. */
--- /dev/null
+++ b/packages/relay/tests/test_returns.c
@@ -0,0 +1,172 @@
+#include "support_story.h"
+
+#include <celeryquay/suite.h>
+
+/*
+ * Servers that come back, to the list or to life, and proxies that are back or
+ * late, while another proxy's change is under way.
+ */
+
+#define FREEZE_US (6 * USEC_PER_SEC)
+
+static struct fake *start(uint32_t seed)
+{
+	struct fake *f = story_start(seed, 6 * USEC_PER_SEC);
+
+	story_callers_come(f);
+	fake_run(f, USEC_PER_SEC);
+	return f;
+}
+
+/* Another proxy than that one is in its fence, or past it. */
+static bool any_other_fences(const struct fake *f, int but)
+{
+	int i;
+
+	for (i = 0; i < STORY_RELAYS; i++) {
+		enum rphase phase = story_service(f, (unsigned)i)->phase;
+
+		if (i != but && (phase == PHASE_HOLD || phase == PHASE_FENCE))
+			return true;
+	}
+	return false;
+}
+
+static char *own_pause_beside_anothers_promotion(uint32_t seed)
+{
+	struct fake *f = start(seed);
+	unsigned ms = 0;
+	int changer;
+
+	f->promote_late_us = (2600 + seed % 6 * 100) * MS;
+	f->promote_us = 700 * MS;
+	fake_crash(f, 0);
+	changer = story_run_until(f, PHASE_PROMOTE);
+	if (changer >= 0)
+		fake_freeze(f, (unsigned)changer, FREEZE_US);
+	while (!any_other_fences(f, changer) && ms++ < 6000)
+		fake_run(f, MS);
+	fake_run(f, seed % 10 * 10 * MS);
+	fake_return(f, 0);
+	fake_run(f, FREEZE_US);
+	return story_end(f);
+}
+
+/*
+ * The changer alone is cut off from the primary and from a replica that has
+ * left the list; that is listed again once the fence is whole, and the others
+ * hear of both a little later.
+ */
+static char *replica_that_is_listed_again(uint32_t seed)
+{
+	struct fake *f = start(seed);
+	unsigned i, changer = seed % STORY_RELAYS, ms = 0;
+
+	f->promote_us = 300 * MS;
+	for (i = 0; i < STORY_RELAYS; i++)
+		if (i != changer)
+			f->relays[i].list_lag_us = (100 + seed % 5 * 100) * MS;
+	fake_cut(f, changer, 0, true);
+	fake_run(f, 3000 * MS);
+	fake_cut(f, changer, 2, true);
+	f->servers[2].listed = false;
+	fake_list(f);
+	while (story_service(f, changer)->phase != PHASE_HOLD && ms++ < 20000)
+		fake_run(f, MS);
+	fake_run(f, 12 * MS);
+	for (i = 0; i < STORY_RELAYS; i++)
+		f->relays[i].list_lag_us = i == changer ? 1000 * MS : 0;
+	f->servers[2].listed = true;
+	fake_list(f);
+	fake_run(f, 6 * USEC_PER_SEC);
+	return story_end(f);
+}
+
+static char *lone_primary_without_the_store(uint32_t seed)
+{
+	struct fake *f = start(seed);
+	unsigned i, last = STORY_RELAYS - 1;
+
+	f->promote_us = 300 * MS;
+	fake_crash(f, 1);
+	fake_crash(f, 2);
+	fake_run(f, 10 * USEC_PER_SEC);
+	f->relays[last].deaf = true;
+	f->relays[last].list_held = true;
+	for (i = 0; i < last; i++)
+		fake_cut(f, i, 0, true);
+	fake_restart(f, 1);
+	fake_run(f, 14 * USEC_PER_SEC);
+	return story_end(f);
+}
+
+static char *target_that_starts_anew(uint32_t seed)
+{
+	struct fake *f = start(seed);
+
+	fake_crash(f, 2);
+	fake_run(f, 10 * USEC_PER_SEC);
+	f->promote_us = 1000 * MS;
+	fake_crash(f, 0);
+	story_run_until(f, PHASE_PROMOTE);
+	fake_run(f, 20 * MS);
+	fake_reborn(f, 1, true);
+	fake_run(f, seed % 2 * 30 * MS);
+	fake_restart(f, 0);
+	fake_run(f, 6 * USEC_PER_SEC);
+	return story_end(f);
+}
+
+/*
+ * A proxy has a promotion under way and is suspended. Another claims the duty,
+ * pauses the replicas anew, sees the old primary come back, and ends what it
+ * takes for its own pauses at once.
+ */
+START_TEST(test_an_own_pause_beside_anothers_promotion)
+{
+	story_check_promises(own_pause_beside_anothers_promotion);
+}
+END_TEST
+
+/*
+ * A replica's entry lapses while it runs. A change gives it up, and it is
+ * listed again before other proxies have given it up: to them it was there all
+ * the time.
+ */
+START_TEST(test_a_replica_that_is_listed_again)
+{
+	story_check_promises(replica_that_is_listed_again);
+}
+END_TEST
+
+/*
+ * Both replicas are gone, and a proxy rightly relies on the primary alone. It
+ * loses the store, a replica comes back, and others, which can't reach the
+ * primary, have that one promoted.
+ */
+START_TEST(test_a_lone_primary_without_the_store)
+{
+	story_check_promises(lone_primary_without_the_store);
+}
+END_TEST
+
+/*
+ * The server that is promoted starts again under its id before that takes
+ * effect, and confirms the old primary, which is back, too.
+ */
+START_TEST(test_a_target_that_starts_anew)
+{
+	story_check_promises(target_that_starts_anew);
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tc = tcase_create("returns");
+
+	tcase_add_test(tc, test_an_own_pause_beside_anothers_promotion);
+	tcase_add_test(tc, test_a_replica_that_is_listed_again);
+	tcase_add_test(tc, test_a_lone_primary_without_the_store);
+	tcase_add_test(tc, test_a_target_that_starts_anew);
+	return suite_main("returns", tc);
+}
