relay: a server that is listed again is in doubt like a new one

What callers saw: a write at an old primary, told as stored, was gone. A replica whose entry had lapsed was given up by the proxy that replaced the primary, and was listed again at others before they had given it up.

Cause: an entry that comes back took away the mark of when it left, and with it all that spoke against the server's word.

Change: it is in doubt from then on, also if its process has run for long.

--- a/packages/relay/src/lead.c
+++ b/packages/relay/src/lead.c
@@ -225,8 +225,8 @@
 }
 
 /*
- * The server is in the list for the first time. One that has run for long is
- * new only to a proxy that has just started.
+ * The server is in the list for the first time, or again. One that has run for
+ * long is new only to a proxy that has just started.
  */
 void rld_on_listed(struct rserver *s, uint64_t now_us)
 {
@@ -234,7 +234,8 @@
 	bool is_first_list = now_us < r->listed_us + FIRST_LIST_US;
 
 	if (s->service->peers || !r->guards.doubt_newcomers ||
-	    (is_first_list && s->info.age_us > OLD_PROCESS_US))
+	    (is_first_list && !s->unlisted_us &&
+	     s->info.age_us > OLD_PROCESS_US))
 		return;
 	s->doubted_us = now_us;
 }
--- a/packages/relay/src/server.c
+++ b/packages/relay/src/server.c
@@ -149,6 +149,9 @@
 	info_copy(&s->info, info);
 	info_clear(&old);
 	s->listed = !info->unusable;
+	/* Others may have given it up meanwhile, and not have paused it. */
+	if (s->listed && !was_listed)
+		rld_on_listed(s, now_us);
 	if (s->listed)
 		s->unlisted_us = 0;
 	else if (was_listed)
