relay: a lone primary that had others needs a list that is fresh

What callers saw: writes at an old primary, told as stored, were gone. Their proxy had rightly seen both replicas go and relied on the primary alone; it lost the store, a replica came back, and others had that one promoted.

Cause: without others listed nobody was asked, for however long nothing was heard of the list.

Change: such a primary is relied on while the store was heard within gone_after_ms less a lease and a second (3.75 s); a service that never had more than one server goes on without the store. The same span now bounds a replica's word; half of gone_after_ms was shorter than a quiet watch of the store (3.4 s). Settings that leave no such span are refused, with the key.

--- a/packages/daemon/src/relay_node.c
+++ b/packages/daemon/src/relay_node.c
@@ -14,6 +14,7 @@
 /* A stop ends at the latest this long after drain_us. */
 #define STOP_LIMIT_MS 1500
 /* A proxy's share of a log pipeline; 64 KiB/s are 5.5 GB a day. */
+#define GONE_MARGIN_US (2 * USEC_PER_SEC)
 #define LOG_LINES_PER_S 200
 #define LOG_BYTES_PER_S 65536
 #define LOG_LIMIT 1000000000
@@ -236,6 +237,20 @@
 	       read_count(s, "warm_connections", &set->warm_connections, err);
 }
 
+/*
+ * A lease must be over, with the margins that lead.c leaves, before others give
+ * a server up.
+ */
+static bool check_times(struct settings *s, const struct relay_settings *set,
+			struct err *err)
+{
+	if (set->gone_after_us >= set->authority_us + GONE_MARGIN_US)
+		return true;
+	return settings_fail(s, "gone_after_ms", err,
+			     "is less than %u above authority_ms",
+			     (unsigned)(GONE_MARGIN_US / USEC_PER_MSEC));
+}
+
 static bool read_relay(struct relay_node *n, struct settings *s,
 		       struct err *err)
 {
@@ -247,7 +262,8 @@
 		return false;
 	n->settings.name = n->name;
 	n->settings.zone = n->zone;
-	return read_times(s, &n->settings, err) && settings_done(s, err);
+	return read_times(s, &n->settings, err) &&
+	       check_times(s, &n->settings, err) && settings_done(s, err);
 }
 
 static const struct relay_driver *find_driver(const char *name)
--- a/packages/relay/src/lead.c
+++ b/packages/relay/src/lead.c
@@ -31,6 +31,19 @@
  */
 #define FIRST_LIST_US (2500 * USEC_PER_MSEC)
 
+/*
+ * Who replaces a primary gives a server up gone_after_us after it left the
+ * list. By then a lease must be over that rests on a list in which it still
+ * was; and a second more, for a list that trails.
+ */
+#define LIST_LATE_US USEC_PER_SEC
+
+static uint64_t within_us(const struct relay *r)
+{
+	return r->settings.gone_after_us - r->settings.authority_us -
+	       LIST_LATE_US;
+}
+
 /* Whether another server is known that could take the primary's place. */
 static bool has_others(const struct rservice *v)
 {
@@ -47,19 +60,32 @@
 	return s->doubted_us && now_us < s->doubted_us + DOUBT_US;
 }
 
+/* Whether the list is as new as its use of it rests on; see within_us(). */
+static bool is_list_fresh(const struct relay *r, uint64_t at_us)
+{
+	return !r->guards.check_list_age ||
+	       at_us < r->store_heard_us + within_us(r);
+}
+
 /*
- * Failure: a proxy has just started, or the entries of all but one server
- * lapsed in an outage of the store, and that one is an old primary which came
- * back while another is promoted. It shows as writes there that are told as
- * stored and are gone. Guard: a lone server that may be new is not relied on
- * while a promotion may be under way.
+ * Failure: a list names one server of a service, an old primary, and the others
+ * are there all the same: the proxy has just started, their entries lapsed in
+ * an outage of the store, or they came back since the store was last heard.
+ * One of them is promoted, and writes at the old one are told as stored and
+ * are gone. Guard: a lone server that may be new is not relied on while a
+ * promotion may be under way, and one that had others only by a list that is
+ * fresh. A service that never had more than one server here goes on without
+ * the store.
  */
-static bool may_have_hidden_others(const struct rservice *v, uint64_t at_us)
+static bool may_have_others(const struct rservice *v, uint64_t at_us)
 {
 	const struct rserver *p = v->primary;
+	const struct relay *r = v->relay;
 
-	return p->relay->guards.doubt_newcomers && is_doubted(p, at_us) &&
-	       at_us < p->relay->duty_used_us + PROMOTED_WITHIN_US;
+	if (v->had_others && !is_list_fresh(r, at_us))
+		return true;
+	return r->guards.doubt_newcomers && is_doubted(p, at_us) &&
+	       at_us < r->duty_used_us + PROMOTED_WITHIN_US;
 }
 
 /*
@@ -71,7 +97,7 @@
 	if (!v->primary)
 		return false;
 	if (!has_others(v))
-		return !may_have_hidden_others(v, at_us);
+		return !may_have_others(v, at_us);
 	return at_us < v->confirmed_us + v->relay->settings.authority_us;
 }
 
@@ -263,18 +289,16 @@
  * is promoted that was never fenced against this replica. It shows as writes
  * that are told as stored and are gone when the partition ends. Guard: a word
  * counts alone only while it is certain that no other proxy has given the
- * server up, which takes gone_after_us from when it left the list; half of
- * that leaves room for a lease, and for news that are late.
+ * server up.
  */
 static bool counts_elsewhere(const struct rserver *s, uint64_t now_us)
 {
 	const struct relay *r = s->relay;
-	uint64_t within_us = r->settings.gone_after_us / 2;
 
 	if (!r->guards.check_list_age)
 		return true;
-	return (s->listed || now_us < s->unlisted_us + within_us) &&
-	       now_us < r->store_heard_us + within_us;
+	return (s->listed || now_us < s->unlisted_us + within_us(r)) &&
+	       is_list_fresh(r, now_us);
 }
 
 /* One that is told to leave, or whose address another has, isn't promoted. */
--- a/packages/relay/src/listed.c
+++ b/packages/relay/src/listed.c
@@ -40,6 +40,7 @@
 		v->no_primary_us = now_us;
 	g_hash_table_insert(r->servers, g_strdup(info->id), s);
 	g_ptr_array_add(v->servers, s);
+	v->had_others |= v->servers->len > 1;
 	rld_on_listed(s, now_us);
 	rlg_server_event(s, "server-listed");
 	return s;
--- a/packages/relay/src/relay_internal.h
+++ b/packages/relay/src/relay_internal.h
@@ -167,6 +167,7 @@
 	uint64_t usable_us; /* a primary could be used here then */
 	uint64_t in_vain_us; /* since when statements want it in vain, or 0 */
 	GPtrArray *servers; /* struct rserver */
+	bool had_others; /* more than one at once */
 
 	struct rserver *primary; /* NULL: not known */
 	uint64_t term; /* the highest that was seen */
