relay: an own pause stands as long as another proxy's promotion may come

What callers saw: a write at an old primary, told as stored, was gone with a promotion that a suspended proxy had asked for. The proxy that claimed the duty after it had paused the replicas anew, saw the old primary back, and ended these pauses at once, as its own change had told the platform nothing.

Change: a pause is needed for 5 s after the last claim of another proxy, whoever made it; after that, and when this proxy's own promotions are over, an own pause ends at once. News of an own claim that come before its answer are not taken for another's.

A call that is carried out so late that it takes effect more than 5 s after its claim still breaks it: the platform gives no bound on that, 5 s is 2.5 times what its pages let one expect.

--- a/packages/relay/src/change.c
+++ b/packages/relay/src/change.c
@@ -469,7 +469,7 @@
 		return;
 	}
 	v->target = best;
-	v->told_us = r->duty_used_us = now_us;
+	v->told_us = now_us;
 	counter_add(r->n_promotions, 1);
 	enter(v, PHASE_PROMOTE, now_us);
 	r->ops->promote(r->ctx, v->name, v->target->info.id, r->token);
--- a/packages/relay/src/relay.c
+++ b/packages/relay/src/relay.c
@@ -186,6 +186,18 @@
 	rrun_dispatch(r, now_us);
 }
 
+/*
+ * Whether this process claimed it: an earlier one of this name may have, too.
+ * News of a claim may come before its answer.
+ */
+static bool is_own_claim(const struct relay *r, uint64_t revision,
+			 const char *holder)
+{
+	if (revision == r->token)
+		return true;
+	return r->claiming && !g_strcmp0(holder, r->name);
+}
+
 /* The duty record as the store has it. */
 void relay_on_duty(struct relay *r, uint64_t revision, const char *holder,
 		   uint64_t now_us)
@@ -196,8 +208,7 @@
 	if (revision != r->duty_revision) {
 		r->duty_revision = revision;
 		r->duty_changed_us = now_us;
-		/* Also an earlier process of this name may have claimed it. */
-		if (revision != r->token)
+		if (!is_own_claim(r, revision, holder))
 			r->duty_used_us = now_us;
 	}
 	g_free(r->duty_holder);
--- a/packages/relay/src/relay_internal.h
+++ b/packages/relay/src/relay_internal.h
@@ -331,7 +331,7 @@
 	uint64_t duty_revision;
 	char *duty_holder;
 	uint64_t duty_changed_us;
-	uint64_t duty_used_us; /* somebody may have told the platform then */
+	uint64_t duty_used_us; /* another may have been at a change then */
 	bool claiming;
 	uint64_t claimed_us; /* start of the claim that gave the token */
 	uint64_t claim_sent_us;
--- a/packages/relay/src/tidy.c
+++ b/packages/relay/src/tidy.c
@@ -6,19 +6,25 @@
 
 #define CLAIM_AGAIN_US USEC_PER_SEC
 
-/* Whether the pause is this proxy's own, and no promotion can be under way. */
-static bool is_own_pause(const struct rservice *v, const struct rserver *s,
-			 uint64_t now_us)
+/* Whether the pause is this proxy's own, made under a duty that it has. */
+static bool is_own_pause(const struct rservice *v, const struct rserver *s)
 {
-	return s->status.held == v->fence_term && !rch_is_told(v, now_us) &&
+	return s->status.held == v->fence_term &&
 	       !g_strcmp0(v->relay->duty_holder, v->relay->name);
 }
 
-/* Whether a promotion of another proxy, or of another change, may come yet. */
-static bool may_be_replaced(const struct rserver *s, uint64_t now_us)
+/*
+ * Whether a promotion may come yet that the pause is needed for. The promotion
+ * of another proxy needs it too, whoever made it.
+ */
+static bool is_needed(const struct rservice *v, const struct rserver *s,
+		      uint64_t now_us)
 {
-	return now_us < s->held_seen_us + PROMOTED_WITHIN_US ||
-	       now_us < s->relay->duty_used_us + PROMOTED_WITHIN_US;
+	if (now_us < v->relay->duty_used_us + PROMOTED_WITHIN_US)
+		return true;
+	if (is_own_pause(v, s))
+		return rch_is_told(v, now_us);
+	return now_us < s->held_seen_us + PROMOTED_WITHIN_US;
 }
 
 /*
@@ -44,7 +50,7 @@
 		s->held_seen_us = now_us;
 	}
 	if (rdt_is_others(r, now_us) || !r->duty_known || r->stopping ||
-	    (!is_own_pause(v, s, now_us) && may_be_replaced(s, now_us)))
+	    is_needed(v, s, now_us))
 		return false;
 	if (rdt_is_fresh(r, now_us))
 		return true;
