relay: the target of a promotion does not confirm the old primary

What callers saw: a write at an old primary, told as stored, was gone. The only replica was to be promoted and started again under its id before that took effect; it knew of no pause, and no other server was there to ask.

Change: it is paused again, as a promotion ends that anyway; and who is in doubt and is all that a change could promote confirms nothing while another proxy may be at a change.

--- a/packages/relay/src/change.c
+++ b/packages/relay/src/change.c
@@ -626,7 +626,8 @@
 /*
  * A server may have started anew and forgotten what this change told it: that
  * it stepped down, or is paused. Until the platform is told, the fence is made
- * once more; from then on the server is told again.
+ * once more; from then on the server is told again. That ends with a promotion,
+ * so the target is told, too: it may be all that confirms the old primary.
  */
 void rch_on_doubt(struct rserver *s, uint64_t now_us)
 {
@@ -640,7 +641,7 @@
 		fence_again(v, now_us);
 	else if (stepped_down)
 		rsv_order(s, RELAY_STEP_DOWN, v->fence_term);
-	else if (s != v->target)
+	else
 		rsv_order(s, RELAY_PAUSE, v->fence_term);
 }
 
--- a/packages/relay/src/lead.c
+++ b/packages/relay/src/lead.c
@@ -328,13 +328,34 @@
 	return earliest_us == NEVER_US ? 0 : earliest_us;
 }
 
-/* From when a lease counts that rests on a replica's word, 0: on none. */
+/* Whether no other server is known that a change could promote. */
+static bool is_only_candidate(const struct rserver *s)
+{
+	const struct rservice *v = s->service;
+	unsigned i;
+
+	for (i = 0; i < v->servers->len; i++)
+		if (rservice_server(v, i) != s &&
+		    can_be_promoted(rservice_server(v, i)))
+			return false;
+	return true;
+}
+
+/*
+ * From when a lease counts that rests on a replica's word, 0: on none. Who is
+ * in doubt can't confirm that nothing is to be known of itself: it may be what
+ * is being promoted.
+ */
 static uint64_t word_us(const struct rserver *s, uint64_t now_us)
 {
+	const struct relay *r = s->relay;
 	uint64_t agreed_us;
 
 	if (!is_doubted(s, now_us) && counts_elsewhere(s, now_us))
 		return s->agreed_us;
+	if (is_doubted(s, now_us) && is_only_candidate(s) &&
+	    now_us < r->duty_used_us + PROMOTED_WITHIN_US)
+		return 0;
 	agreed_us = all_agreed_us(s->service);
 	return agreed_us > s->doubted_us ? agreed_us : 0;
 }
