relay: a connection without another beside it may lead to a new process

A proxy that becomes a home of a database has known its servers by the list alone, for longer than a doubt lasts; one that started again under its id meanwhile knows of no pause, and was believed. Found by reading, no test shows it: the histories' homes do not change within a change of primary. A connection that opens while no other one to its server stands raises the doubt that a broken one does.

--- a/packages/relay/src/conn.c
+++ b/packages/relay/src/conn.c
@@ -242,6 +242,7 @@
 		after_us = SPARE_CLOSE_US;
 	if (!rsv_takes_work(s, now_us))
 		after_us = 0;
+	/* The last one shows that the process is the same, see server.c. */
 	if (!rsv_is_wanted(s, now_us) || !rcn_is_ours(s) ||
 	    (s->n_conns > set->warm_connections &&
 	     now_us > c->used_us + after_us))
--- a/packages/relay/src/server.c
+++ b/packages/relay/src/server.c
@@ -96,10 +96,17 @@
 		s->broke_us = 0;
 }
 
-/* A new connection stands. */
+/*
+ * A new connection stands. Without another one nothing shows that it leads to
+ * the process that was there before, if this proxy ever had one: a home of a
+ * database may have known the server by the list alone.
+ */
 void rsv_conn_opened(struct rserver *s, uint64_t now_us)
 {
-	if (s->broke_us)
+	bool is_only_one = s->n_conns == s->n_opening &&
+			   s->relay->guards.doubt_newcomers;
+
+	if (s->broke_us || is_only_one)
 		doubt(s, now_us);
 }
 
