relay: a planned change waits for silent replicas before the step-down

What callers see without it: a primary steps down as planned while a replica is silent, the fence can't be whole, and nobody leads until that replica has left the list and is given up, 9 s at most. While a leaving primary is sent work anyway, 4 of 5 s, the replica is waited for first.

The planned path also asks, as the other does, that no two servers are left unpaused: one that left the list and is silent here may be up elsewhere.

--- a/packages/relay/src/change.c
+++ b/packages/relay/src/change.c
@@ -26,6 +26,8 @@
 #define ELSEWHERE_LIMIT_US (8 * USEC_PER_SEC)
 #define CLAIM_LIMIT_US USEC_PER_SEC
 #define FENCE_LIMIT_US (2500 * USEC_PER_MSEC)
+/* Of the 5 s for which rsv_leads_on() sends it work. */
+#define LEAVING_WAITS_US (4 * USEC_PER_SEC)
 #define CATCH_UP_LIMIT_US (2 * USEC_PER_SEC)
 #define PROMOTE_LIMIT_US (1500 * USEC_PER_MSEC)
 #define SETTLE_LIMIT_US (3 * USEC_PER_SEC)
@@ -153,6 +155,27 @@
 	return v->alive_elsewhere;
 }
 
+/*
+ * Failure: a primary steps down as planned while a replica is silent, and
+ * nobody leads until that one has left the list and is given up. Guard: as long
+ * as the primary serves on while it leaves, the replica is waited for.
+ */
+static bool may_step_down(const struct rservice *v, uint64_t now_us)
+{
+	unsigned i;
+
+	if (now_us > v->primary->leaving_us + LEAVING_WAITS_US)
+		return true;
+	for (i = 0; i < v->servers->len; i++) {
+		const struct rserver *s = rservice_server(v, i);
+
+		if (s != v->primary && !s->moved && !s->refused &&
+		    !rsv_is_up(s))
+			return false;
+	}
+	return true;
+}
+
 static const char *primary_trouble(struct rservice *v, uint64_t now_us)
 {
 	const struct relay_settings *set = &v->relay->settings;
@@ -161,7 +184,7 @@
 	bool elsewhere;
 
 	if (p->info.leaving)
-		return "leaving";
+		return may_step_down(v, now_us) ? "leaving" : NULL;
 	if (p->moved || (!p->listed &&
 			 now_us > p->unlisted_us + set->gone_after_us * 2 / 3))
 		return "gone";
@@ -298,16 +321,21 @@
 }
 
 /*
- * After the platform was told, the target is the primary at any moment. Beside
- * an old primary that stepped down, a replica whose process is gone is not
- * waited for: who comes back there is in doubt everywhere, and it takes both to
- * start anew to be relied on.
+ * Whether the server's process is gone, beside an old primary that stepped
+ * down. It is not waited for: who comes back there is in doubt everywhere, and
+ * it takes both to start anew to be relied on.
  */
+static bool is_gone_beside(const struct rservice *v, const struct rserver *s)
+{
+	return v->stepped_down && s != v->old && (s->refused || s->moved);
+}
+
+/* After the platform was told, the target is the primary at any moment. */
 static bool must_be_paused(const struct rservice *v, const struct rserver *s)
 {
 	if (s == v->target && v->phase >= PHASE_PROMOTE)
 		return false;
-	if (s->refused && v->stepped_down)
+	if (is_gone_beside(v, s))
 		return false;
 	return may_confirm(v, s) && !is_paused(v, s);
 }
@@ -355,9 +383,12 @@
 {
 	unsigned i, n_paused = 0;
 
-	for (i = 0; i < v->servers->len; i++)
-		if (is_paused(v, rservice_server(v, i)))
+	for (i = 0; i < v->servers->len; i++) {
+		const struct rserver *s = rservice_server(v, i);
+
+		if (is_paused(v, s) || is_gone_beside(v, s))
 			n_paused++;
+	}
 	return v->servers->len <= n_paused + 1;
 }
 
@@ -448,7 +479,8 @@
 	 * promotion can take effect. Another proxy may reach the replica that
 	 * this one can't.
 	 */
-	if (!v->relay->guards.doubt_reborn || pause_others(v, now_us))
+	if (!v->relay->guards.doubt_reborn ||
+	    (pause_others(v, now_us) && no_two_are_left(v)))
 		fenced(v, now_us);
 	else if (now_us > v->phase_us + CATCH_UP_LIMIT_US)
 		give_up(v, "a replica could not be paused", now_us);
