relay: a claim from before the fence is followed by one after it at once

When a proxy replaces the primaries of two services, the second's fence may end while the first's claim is under way. That claim can't show that no server was missed, and its age was waited for, 1.5 s.

--- a/packages/relay/src/change.c
+++ b/packages/relay/src/change.c
@@ -552,7 +552,10 @@
 	}
 	if (v->fenced_us && rdt_is_fresh(v->relay, now_us) &&
 	    !knows_all_servers(v)) {
-		if (now_us > v->phase_us + FENCE_LIMIT_US)
+		/* The claim of another service's change was under way. */
+		if (v->relay->claimed_us < v->fenced_us)
+			start_claim(v, now_us);
+		else if (now_us > v->phase_us + FENCE_LIMIT_US)
 			give_up(v, "the list of servers is too old", now_us);
 		return;
 	}
