relay: the log tells whose word is left aside, metrics count pauses

An operator whose writes wait for a lease could not see that a replica did answer and was not relied on, nor that servers which come delay a change.

word-left-aside names the replica, the primary and why: new, restarted, or old-list. It is written once for each server and primary at most, like primary-confirmed: a change of primary adds at most four lines of these two to a proxy's log in a group of three. celeryquay explain shows both among what a proxy believed. Pauses sent and fences made again because a server came are counted.

One call each in lead.c (note_replica), change.c (hold) and server.c (send_probe); no logic changes.

--- a/packages/cli/src/explain.c
+++ b/packages/cli/src/explain.c
@@ -31,6 +31,7 @@
 	{ "primary", "primary", "service" },
 	{ "primary-lost", "primary", "service" },
 	{ "primary-confirmed", "lease", "service" },
+	{ "word-left-aside", "word", "by" },
 	{ "change", "change", "service" },
 	{ "home", "home", "service" },
 	{ "feed", "feed", NULL },
--- a/packages/cli/tests/test_explain.c
+++ b/packages/cli/tests/test_explain.c
@@ -4,6 +4,7 @@
  */
 #include "explain.h"
 #include "support_history.h"
+#include "support_log.h"
 
 #include <celeryquay/suite.h>
 #include <string.h>
@@ -12,21 +13,10 @@
 static struct fake *fake;
 static FILE *log_file;
 
-static uint64_t fake_clock_us(void)
-{
-	return fake->now_us;
-}
-
 static void start(unsigned n_relays, bool homes)
 {
-	static const struct log_budget budget = { 100000, 100000000 };
-
 	fake = fake_create(3, n_relays, 1);
-	log_file = tmpfile();
-	ck_assert_ptr_nonnull(log_file);
-	log_event_set_clock(fake_clock_us);
-	log_event_set_node("proxy");
-	log_sink_open(fileno(log_file), &budget);
+	log_file = fake_log_open(fake);
 	fake->homes = homes;
 	fake_list(fake);
 	fake_run(fake, USEC_PER_SEC);
@@ -34,11 +24,9 @@
 
 static void end(void)
 {
-	log_sink_open(-1, NULL);
-	log_event_set_clock(NULL);
+	fake_log_close(log_file);
 	ck_assert_str_eq(hist_check(fake), "");
 	fake_destroy(fake);
-	fclose(log_file);
 }
 
 /* What `celeryquay explain` prints of the caller's last statement. */
@@ -49,8 +37,7 @@
 	GString *out = g_string_new(NULL);
 	struct err err = { 0 };
 
-	log_sink_flush();
-	rewind(log_file);
+	fake_log_rewind(log_file);
 	explain_read(e, "log", log_file, &err);
 	ck_assert_msg(!err.code, "%s", err.message);
 	ck_assert_msg(explain_found(e), "no line has the id %s", id);
@@ -132,6 +119,38 @@
 }
 END_TEST
 
+/*
+ * A new server is listed and both replicas crash. The primary serves, and the
+ * new server alone says so; its word doesn't count yet.
+ */
+START_TEST(refused_for_want_of_a_word_that_counts)
+{
+	struct hist_session *s;
+	unsigned number;
+	char *text;
+
+	start(2, false);
+	fake_run(fake, 6 * USEC_PER_SEC);
+	s = hist_open(fake, 0, 0, RELAY_KIND_PRIMARY);
+	ck_assert_int_eq(hist_run(fake, s, RELAY_WRITE, "", "1"), RELAY_OK);
+	number = fake_join(fake, 0);
+	fake_crash(fake, 1);
+	fake_crash(fake, 2);
+	fake_run(fake, 1500 * MS);
+	ck_assert_int_eq(hist_run(fake, s, RELAY_WRITE, "", "1"), RELAY_BUSY);
+	text = explain_last();
+	check_says(text, "servers: server=s0 passed_over=lease-over");
+	check_says(text, "lease_left_ms=0");
+	check_says(text, "ms before: primary-confirmed service=group0 "
+			 "server=s0 term=1 by=s");
+	check_says(text, "ms before: word-left-aside service=group0 "
+			 "primary=s0 term=1 by=s3 why=new");
+	ck_assert_uint_eq(number, 3);
+	g_free(text);
+	end();
+}
+END_TEST
+
 /* A brand submits a code and hears that nobody knows whether it is stored. */
 START_TEST(a_write_in_doubt)
 {
@@ -390,6 +409,7 @@
 
 	tcase_add_test(tests, refused_for_want_of_a_primary);
 	tcase_add_test(tests, refused_for_want_of_fresh_replicas);
+	tcase_add_test(tests, refused_for_want_of_a_word_that_counts);
 	tcase_add_test(tests, a_write_in_doubt);
 	tcase_add_test(tests, a_transaction_cut_at_a_stop);
 	tcase_add_test(tests, a_statement_through_a_home);
--- a/packages/relay/src/change.c
+++ b/packages/relay/src/change.c
@@ -496,6 +496,7 @@
 	/* A server that came after the pauses is paused like the others. */
 	if (v->fenced_us && v->relay->guards.claim_after_fence &&
 	    any_unpaused(v)) {
+		rmt_fence_again(v->relay);
 		fence_again(v, now_us);
 		return;
 	}
--- a/packages/relay/src/lead.c
+++ b/packages/relay/src/lead.c
@@ -318,6 +318,7 @@
 			 uint64_t now_us)
 {
 	struct rservice *v = s->service;
+	uint64_t counts_us;
 
 	if (v->primary == s)
 		set_primary(v, NULL, now_us);
@@ -329,7 +330,9 @@
 		return;
 	s->agreed_us = started_us;
 	s->agreed_term = v->term;
-	confirm(s, BY_STATUS, word_us(s, now_us), now_us);
+	counts_us = word_us(s, now_us);
+	rlg_left_aside(s, counts_us, is_doubted(s, now_us));
+	confirm(s, BY_STATUS, counts_us, now_us);
 }
 
 /* Takes in the status that the server gave to a probe sent at started_us. */
--- a/packages/relay/src/relay_internal.h
+++ b/packages/relay/src/relay_internal.h
@@ -120,6 +120,7 @@
 	uint64_t agreed_term;
 	uint64_t
 		confirmed_change; /* the last primary_changes it confirmed in */
+	uint64_t left_aside_change; /* the last that its word was told in */
 	uint64_t failing_us; /* since when probes fail, 0: they don't */
 	uint64_t probed_us; /* the last probe was sent then */
 	uint64_t latency_us; /* smoothed, of callers' statements */
@@ -540,6 +541,7 @@
 		 uint64_t now_us);
 struct log_line *rlg_server(const struct rserver *s, const char *event);
 void rlg_server_event(const struct rserver *s, const char *event);
+void rlg_left_aside(struct rserver *by, uint64_t counts_us, bool is_doubted);
 
 /* rmetrics.c */
 struct rmetrics *rmt_create(struct counter_set *set);
@@ -549,6 +551,8 @@
 void rmt_waited(const struct relay *r, uint64_t us);
 void rmt_answered(const struct rserver *s, uint64_t us);
 void rmt_store_call(const struct relay *r, uint64_t us);
+void rmt_pause(const struct relay *r);
+void rmt_fence_again(const struct relay *r);
 void rmt_set_gauges(const struct relay *r, uint64_t now_us);
 
 #endif
--- a/packages/relay/src/rlog.c
+++ b/packages/relay/src/rlog.c
@@ -283,3 +283,36 @@
 	if (l)
 		log_event_end(l);
 }
+
+/* Why a word does not count alone. */
+static const char *why_left_aside(const struct rserver *by, bool is_doubted)
+{
+	if (!is_doubted)
+		return "old-list";
+	return by->doubted_us == by->listed_us ? "new" : "restarted";
+}
+
+/*
+ * A replica's word for the primary moves no lease, since it counts only with
+ * that of others, from counts_us on. Told once for each replica and primary:
+ * an operator whose writes wait sees which server is not relied on, and why.
+ */
+void rlg_left_aside(struct rserver *by, uint64_t counts_us, bool is_doubted)
+{
+	const struct rservice *v = by->service;
+	struct log_line *l;
+
+	if (counts_us >= by->agreed_us || counts_us > v->confirmed_us ||
+	    by->left_aside_change == v->primary_changes)
+		return;
+	by->left_aside_change = v->primary_changes;
+	l = log_event(LOG_STATE, "word-left-aside");
+	if (!l)
+		return;
+	log_cstr(l, "service", v->name);
+	log_cstr(l, "primary", v->primary->info.id);
+	log_u64(l, "term", v->term);
+	log_cstr(l, "by", by->info.id);
+	log_cstr(l, "why", why_left_aside(by, is_doubted));
+	log_event_end(l);
+}
--- a/packages/relay/src/rmetrics.c
+++ b/packages/relay/src/rmetrics.c
@@ -11,6 +11,8 @@
 	struct counter *server;
 	struct counter *hop;
 	struct counter *store_call;
+	struct counter *pauses;
+	struct counter *fences_again;
 	struct counter *sessions;
 	struct counter *transactions;
 	struct counter *waiting;
@@ -106,6 +108,12 @@
 				  NULL,
 				  "the store's answer to a call that does "
 				  "not wait for news");
+	m->pauses = counter_get(set, COUNTER_COUNT,
+				"celeryquay_relay_pauses_total", NULL,
+				"pauses sent to servers, repeats included");
+	m->fences_again = counter_get(
+		set, COUNTER_COUNT, "celeryquay_relay_fences_again_total", NULL,
+		"fences made again because a server came");
 	create_gauges(m, set);
 	return m;
 }
@@ -150,6 +158,18 @@
 	counter_observe_us(r->metrics->store_call, us);
 }
 
+/* A server is told to take part in no older term. */
+void rmt_pause(const struct relay *r)
+{
+	counter_add(r->metrics->pauses, 1);
+}
+
+/* A server turned up that the pauses of a change had missed. */
+void rmt_fence_again(const struct relay *r)
+{
+	counter_add(r->metrics->fences_again, 1);
+}
+
 static void set_sessions(const struct relay *r)
 {
 	GHashTableIter iter;
--- a/packages/relay/src/server.c
+++ b/packages/relay/src/server.c
@@ -275,6 +275,8 @@
 		step = STEP_ORDER;
 		s->order_wanted = false;
 		s->order_sent_us = now_us;
+		if (s->order == RELAY_PAUSE)
+			rmt_pause(s->relay);
 	}
 	s->probe_now = false;
 	s->probed_us = now_us;
--- /dev/null
+++ b/packages/relay/tests/test_lease_log.c
@@ -0,0 +1,233 @@
+#include "support_history.h"
+#include "support_log.h"
+
+#include <celeryquay/suite.h>
+#include <string.h>
+
+/*
+ * A write was told as stored and is gone. Its cause must be found in the logs
+ * alone: on whose word did the proxy rely on that primary?
+ */
+
+static struct fake *fake;
+static FILE *log_file;
+
+static void next_write(struct fake *f, void *data)
+{
+	hist_start(f, data, RELAY_WRITE, "", "1");
+}
+
+/* One proxy, so that each line is its own; a caller writes all the while. */
+static void start(uint32_t seed)
+{
+	struct hist_session *s;
+
+	fake = fake_create(seed, 1, 1);
+	log_file = fake_log_open(fake);
+	fake_list(fake);
+	fake_run(fake, 6 * USEC_PER_SEC);
+	s = hist_open(fake, 0, 0, RELAY_KIND_PRIMARY);
+	s->next = next_write;
+	next_write(fake, s);
+	fake_run(fake, USEC_PER_SEC);
+}
+
+static void end(void)
+{
+	ck_assert_str_eq(hist_check(fake), "");
+	fake_log_close(log_file);
+	fake_destroy(fake);
+}
+
+static const char *text_of(JsonObject *line, const char *key)
+{
+	ck_assert_msg(json_object_has_member(line, key), "no %s", key);
+	return json_object_get_string_member(line, key);
+}
+
+static int64_t number_of(JsonObject *line, const char *key)
+{
+	ck_assert_msg(json_object_has_member(line, key), "no %s", key);
+	return json_object_get_int_member(line, key);
+}
+
+/* How many lines of the event a server has for a primary of that term. */
+static unsigned count(const char *event, const char *by, int64_t term,
+		      const char *why)
+{
+	GPtrArray *lines = fake_log_lines(log_file, event);
+	unsigned i, n = 0;
+
+	for (i = 0; i < lines->len; i++) {
+		JsonObject *line = fake_log_line(lines, i);
+
+		if (strcmp(text_of(line, "by"), by) ||
+		    number_of(line, "term") != term)
+			continue;
+		n++;
+		if (why)
+			ck_assert_str_eq(text_of(line, "why"), why);
+	}
+	g_ptr_array_unref(lines);
+	return n;
+}
+
+/*
+ * A primary dies and is replaced. The log says whose word the lease on the new
+ * one rests on, what showed it and how long that replica was listed.
+ */
+START_TEST(test_a_change_names_whose_word_counts)
+{
+	const struct fake_server *p;
+	GPtrArray *lines;
+	unsigned i, n = 0;
+
+	start(1);
+	fake_crash(fake, 0);
+	fake_run(fake, 5 * USEC_PER_SEC);
+	p = fake_primary(fake, 0);
+	ck_assert_str_ne(p->id, "s0");
+	lines = fake_log_lines(log_file, "primary-confirmed");
+	for (i = 0; i < lines->len; i++) {
+		JsonObject *line = fake_log_line(lines, i);
+
+		ck_assert_str_eq(text_of(line, "service"), "group0");
+		ck_assert_str_ne(text_of(line, "by"), text_of(line, "server"));
+		if (strcmp(text_of(line, "evidence"), "status"))
+			ck_assert_str_eq(text_of(line, "evidence"), "applied");
+		if (strcmp(text_of(line, "server"), p->id))
+			continue;
+		n++;
+		ck_assert_int_eq(number_of(line, "term"), (int64_t)p->term);
+		ck_assert_str_ne(text_of(line, "by"), "s0");
+		ck_assert_int_ge(number_of(line, "listed_ms"), 7000);
+		ck_assert_int_le(number_of(line, "asked_ms"), 750);
+	}
+	ck_assert_uint_eq(n, 1);
+	g_ptr_array_unref(lines);
+	end();
+}
+END_TEST
+
+/* No two lines of the event are of one server and one primary; how many. */
+static unsigned check_one_a_server(const char *event)
+{
+	GPtrArray *lines = fake_log_lines(log_file, event);
+	GHashTable *told =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	unsigned i, n = lines->len;
+
+	for (i = 0; i < n; i++) {
+		JsonObject *line = fake_log_line(lines, i);
+		char *key = g_strdup_printf("%s of term %d",
+					    text_of(line, "by"),
+					    (int)number_of(line, "term"));
+
+		ck_assert_msg(!g_hash_table_contains(told, key), "%s: %s twice",
+			      event, key);
+		g_hash_table_add(told, key);
+	}
+	g_hash_table_destroy(told);
+	g_ptr_array_unref(lines);
+	return n;
+}
+
+/* A day of changes must not fill the log. */
+START_TEST(test_lines_of_a_change_are_bounded)
+{
+	GPtrArray *lines;
+	unsigned i;
+
+	start(2);
+	for (i = 0; i < 4; i++) {
+		const struct fake_server *p = fake_primary(fake, 0);
+
+		fake_crash(fake, p->index);
+		fake_join(fake, 0);
+		fake_run(fake, 6 * USEC_PER_SEC);
+		fake_restart(fake, p->index);
+		fake_run(fake, 6 * USEC_PER_SEC);
+	}
+	ck_assert_uint_ge(check_one_a_server("primary-confirmed"), 5);
+	ck_assert_uint_ge(check_one_a_server("word-left-aside"), 4);
+	lines = fake_log_lines(log_file, "primary");
+	ck_assert_uint_eq(lines->len, 5);
+	g_ptr_array_unref(lines);
+	lines = fake_log_lines(log_file, "change");
+	ck_assert_uint_le(lines->len, 4 * 8);
+	g_ptr_array_unref(lines);
+	end();
+}
+END_TEST
+
+/* A server that is listed only now is not relied on, and the log says so. */
+START_TEST(test_a_new_servers_word_is_left_aside)
+{
+	unsigned number;
+
+	start(3);
+	number = fake_join(fake, 0);
+	fake_run(fake, 2 * USEC_PER_SEC);
+	ck_assert_uint_eq(count("word-left-aside", fake->servers[number].id, 1,
+				"new"),
+			  1);
+	end();
+}
+END_TEST
+
+/* All are new at the start; the replica whose word was not left aside then. */
+static unsigned replica_without_a_line(void)
+{
+	unsigned n = count("word-left-aside", "s1", 1, "new");
+
+	ck_assert_uint_eq(n + count("word-left-aside", "s2", 1, "new"), 1);
+	return n ? 2 : 1;
+}
+
+/* The same for a replica that started anew, beside one that is down. */
+START_TEST(test_a_restarted_servers_word_is_left_aside)
+{
+	unsigned replica;
+
+	start(4);
+	replica = replica_without_a_line();
+	fake_crash(fake, 3 - replica);
+	fake_reborn(fake, replica, true);
+	fake_run(fake, 3 * USEC_PER_SEC);
+	ck_assert_uint_eq(count("word-left-aside", fake->servers[replica].id, 1,
+				"restarted"),
+			  1);
+	end();
+}
+END_TEST
+
+/* The store is out and a replica is down: the other's word is not enough. */
+START_TEST(test_a_word_is_left_aside_by_an_old_list)
+{
+	const char *id;
+	unsigned replica;
+
+	start(5);
+	replica = replica_without_a_line();
+	id = fake->servers[replica].id;
+	fake->relays[0].deaf = true;
+	fake_crash(fake, 3 - replica);
+	fake_run(fake, 2500 * MS);
+	ck_assert_uint_eq(count("word-left-aside", id, 1, NULL), 0);
+	fake_run(fake, 3 * USEC_PER_SEC);
+	ck_assert_uint_eq(count("word-left-aside", id, 1, "old-list"), 1);
+	end();
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tc = tcase_create("lease_log");
+
+	tcase_add_test(tc, test_a_change_names_whose_word_counts);
+	tcase_add_test(tc, test_lines_of_a_change_are_bounded);
+	tcase_add_test(tc, test_a_new_servers_word_is_left_aside);
+	tcase_add_test(tc, test_a_restarted_servers_word_is_left_aside);
+	tcase_add_test(tc, test_a_word_is_left_aside_by_an_old_list);
+	return suite_main("lease_log", tc);
+}
--- a/packages/relay/tests/test_metrics.c
+++ b/packages/relay/tests/test_metrics.c
@@ -252,10 +252,51 @@
 }
 END_TEST
 
+static void run_into_hold(struct fake *f)
+{
+	const struct rservice *v =
+		g_hash_table_lookup(f->relays[0].relay->services, "group0");
+	uint64_t limit_us = f->now_us + 5 * USEC_PER_SEC;
+
+	while (v->phase != PHASE_HOLD && f->now_us < limit_us)
+		fake_run(f, MS);
+	ck_assert_int_eq(v->phase, PHASE_HOLD);
+}
+
+/*
+ * A server is listed while the others are paused, and has to be paused too. An
+ * operator sees that changes are delayed by servers that come, and that a
+ * server which never takes its pause is told again and again.
+ */
+START_TEST(test_metrics_show_pauses_and_fences)
+{
+	struct fake *f = fake_create(3, 1, 1);
+
+	fake_run(f, 6 * USEC_PER_SEC);
+	scrape(f);
+	ck_assert_uint_eq(value("celeryquay_relay_pauses_total{}"), 0);
+	end_metrics();
+	fake_crash(f, 0);
+	run_into_hold(f);
+	scrape(f);
+	ck_assert_uint_eq(value("celeryquay_relay_pauses_total{}"), 2);
+	ck_assert_uint_eq(value("celeryquay_relay_fences_again_total{}"), 0);
+	end_metrics();
+	fake_join(f, 0);
+	fake_run(f, 4 * USEC_PER_SEC);
+	scrape(f);
+	ck_assert_uint_eq(value("celeryquay_relay_pauses_total{}"), 3);
+	ck_assert_uint_eq(value("celeryquay_relay_fences_again_total{}"), 1);
+	end_metrics();
+	fake_destroy(f);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("metrics");
 
 	tcase_add_test(tc, test_metrics_show_what_callers_got);
+	tcase_add_test(tc, test_metrics_show_pauses_and_fences);
 	return suite_main("metrics", tc);
 }
