relay: no process counts as known for its age; reasons of a word left aside

Listed processes that had run for 15 s were taken for known by a proxy that has just started. Entries need not say when their process started, the first connection to a server raises a doubt anyway, and clocks had to agree within 10 s: the exemption is gone. What it was to gain, a lease at once beside a silent replica at a proxy's start, is had through another proxy or after 5 s.

The log names the reason of each doubt now (new, restarted, old-list), one line for each replica, primary and reason. Two tests of these lines counted on one of two replicas being believed first; they ask for the same lines of a named replica, and for the reason as well.

--- a/packages/relay/include/celeryquay/relay/relay.h
+++ b/packages/relay/include/celeryquay/relay/relay.h
@@ -33,8 +33,6 @@
 	 * under the id of an earlier one has a later start.
 	 */
 	uint64_t born_ms;
-	/* For how long it had run when it was listed, by both VMs' clocks. */
-	uint64_t age_us;
 	/* Its entry can't be read any more: not to be used. */
 	bool unusable;
 	/* Of a proxy: where others follow the store through it, 0: nowhere. */
--- a/packages/relay/src/lead.c
+++ b/packages/relay/src/lead.c
@@ -19,18 +19,6 @@
 /* What a server doesn't know of a change matters no more by then. */
 #define DOUBT_US PROMOTED_WITHIN_US
 
-/*
- * A process that has run for this long was listed before any change of primary
- * that may be under way began: 5 s for a change, and 10 s for the clocks of
- * two VMs.
- */
-#define OLD_PROCESS_US (15 * USEC_PER_SEC)
-/*
- * Servers whose entries lapsed in an outage of the store are back in the list
- * by then.
- */
-#define FIRST_LIST_US (2500 * USEC_PER_MSEC)
-
 /*
  * Who replaces a primary gives a server up gone_after_us after it left the
  * list. By then a lease must be over that rests on a list in which it still
@@ -245,25 +233,19 @@
 void rld_on_doubt(struct rserver *s, uint64_t now_us)
 {
 	s->doubted_us = now_us;
+	s->doubted_as_new = s->doubted_as_new && !s->heard_us;
 	s->agreed_us = 0;
 	rld_drop(s, now_us);
 	rld_ask(s->service);
 }
 
-/*
- * The server is in the list for the first time, or again. One that has run for
- * long is new only to a proxy that has just started.
- */
+/* The server is in the list for the first time, or again. */
 void rld_on_listed(struct rserver *s, uint64_t now_us)
 {
-	const struct relay *r = s->relay;
-	bool is_first_list = now_us < r->listed_us + FIRST_LIST_US;
-
-	if (s->service->peers || !r->guards.doubt_newcomers ||
-	    (is_first_list && !s->unlisted_us &&
-	     s->info.age_us > OLD_PROCESS_US))
+	if (s->service->peers || !s->relay->guards.doubt_newcomers)
 		return;
 	s->doubted_us = now_us;
+	s->doubted_as_new = true;
 }
 
 static void note_primary(struct rserver *s, uint64_t now_us)
--- a/packages/relay/src/listed.c
+++ b/packages/relay/src/listed.c
@@ -146,8 +146,6 @@
 {
 	unsigned i;
 
-	if (!r->listed)
-		r->listed_us = now_us;
 	r->listed = true;
 	unlist(r, infos, n_infos, now_us);
 	for (i = 0; i < n_infos; i++) {
--- a/packages/relay/src/relay_internal.h
+++ b/packages/relay/src/relay_internal.h
@@ -116,11 +116,13 @@
 	uint64_t heard_us;
 	uint64_t broke_us; /* a connection broke then, 0: all is known */
 	uint64_t doubted_us; /* it may know of no pause since, 0: no; lead.c */
+	bool doubted_as_new; /* since it was listed, not for a restart */
 	uint64_t agreed_us; /* it knew of no term above agreed_term then */
 	uint64_t agreed_term;
 	uint64_t
 		confirmed_change; /* the last primary_changes it confirmed in */
 	uint64_t left_aside_change; /* the last that its word was told in */
+	const char *left_aside_why; /* and the reason then */
 	uint64_t failing_us; /* since when probes fail, 0: they don't */
 	uint64_t probed_us; /* the last probe was sent then */
 	uint64_t latency_us; /* smoothed, of callers' statements */
@@ -318,7 +320,6 @@
 	uint64_t known_revision; /* what the store had then was told */
 	bool store_lost; /* it has not answered since */
 	bool listed; /* the list of servers came */
-	uint64_t listed_us; /* for the first time then */
 	uint64_t started_us;
 	uint64_t ticked_us;
 	uint64_t minded_us; /* homes were looked after then */
--- a/packages/relay/src/rlog.c
+++ b/packages/relay/src/rlog.c
@@ -287,25 +287,31 @@
 /* Why a word does not count alone. */
 static const char *why_left_aside(const struct rserver *by, bool is_doubted)
 {
+	static const char *const whys[] = { "old-list", "new", "restarted" };
+
 	if (!is_doubted)
-		return "old-list";
-	return by->doubted_us == by->listed_us ? "new" : "restarted";
+		return whys[0];
+	return by->doubted_as_new ? whys[1] : whys[2];
 }
 
 /*
  * A replica's word for the primary moves no lease, since it counts only with
- * that of others, from counts_us on. Told once for each replica and primary:
- * an operator whose writes wait sees which server is not relied on, and why.
+ * that of others, from counts_us on. Told once for each replica, primary and
+ * reason: an operator whose writes wait sees which server is not relied on.
  */
 void rlg_left_aside(struct rserver *by, uint64_t counts_us, bool is_doubted)
 {
 	const struct rservice *v = by->service;
+	const char *why = why_left_aside(by, is_doubted);
 	struct log_line *l;
 
-	if (counts_us >= by->agreed_us || counts_us > v->confirmed_us ||
-	    by->left_aside_change == v->primary_changes)
+	if (counts_us >= by->agreed_us || counts_us > v->confirmed_us)
+		return;
+	if (by->left_aside_change == v->primary_changes &&
+	    by->left_aside_why == why)
 		return;
 	by->left_aside_change = v->primary_changes;
+	by->left_aside_why = why;
 	l = log_event(LOG_STATE, "word-left-aside");
 	if (!l)
 		return;
@@ -313,6 +319,6 @@
 	log_cstr(l, "primary", v->primary->info.id);
 	log_u64(l, "term", v->term);
 	log_cstr(l, "by", by->info.id);
-	log_cstr(l, "why", why_left_aside(by, is_doubted));
+	log_cstr(l, "why", why);
 	log_event_end(l);
 }
--- a/packages/relay/tests/test_lease_log.c
+++ b/packages/relay/tests/test_lease_log.c
@@ -72,6 +72,24 @@
 	return n;
 }
 
+/* Why the server's word was left aside last. */
+static const char *last_why(const char *by)
+{
+	static char why[16];
+	GPtrArray *lines = fake_log_lines(log_file, "word-left-aside");
+	unsigned i;
+
+	*why = 0;
+	for (i = 0; i < lines->len; i++) {
+		JsonObject *line = fake_log_line(lines, i);
+
+		if (!strcmp(text_of(line, "by"), by))
+			g_strlcpy(why, text_of(line, "why"), sizeof(why));
+	}
+	g_ptr_array_unref(lines);
+	return why;
+}
+
 /*
  * A primary dies and is replaced. The log says whose word the lease on the new
  * one rests on, what showed it and how long that replica was listed.
@@ -175,28 +193,18 @@
 }
 END_TEST
 
-/* All are new at the start; the replica whose word was not left aside then. */
-static unsigned replica_without_a_line(void)
-{
-	unsigned n = count("word-left-aside", "s1", 1, "new");
-
-	ck_assert_uint_eq(n + count("word-left-aside", "s2", 1, "new"), 1);
-	return n ? 2 : 1;
-}
-
 /* The same for a replica that started anew, beside one that is down. */
 START_TEST(test_a_restarted_servers_word_is_left_aside)
 {
-	unsigned replica;
+	unsigned n;
 
 	start(4);
-	replica = replica_without_a_line();
-	fake_crash(fake, 3 - replica);
-	fake_reborn(fake, replica, true);
+	n = count("word-left-aside", "s1", 1, "new");
+	fake_crash(fake, 2);
+	fake_reborn(fake, 1, true);
 	fake_run(fake, 3 * USEC_PER_SEC);
-	ck_assert_uint_eq(count("word-left-aside", fake->servers[replica].id, 1,
-				"restarted"),
-			  1);
+	ck_assert_str_eq(last_why("s1"), "restarted");
+	ck_assert_uint_eq(count("word-left-aside", "s1", 1, NULL), n + 1);
 	end();
 }
 END_TEST
@@ -204,18 +212,17 @@
 /* The store is out and a replica is down: the other's word is not enough. */
 START_TEST(test_a_word_is_left_aside_by_an_old_list)
 {
-	const char *id;
-	unsigned replica;
+	unsigned n;
 
 	start(5);
-	replica = replica_without_a_line();
-	id = fake->servers[replica].id;
+	n = count("word-left-aside", "s1", 1, "new");
 	fake->relays[0].deaf = true;
-	fake_crash(fake, 3 - replica);
-	fake_run(fake, 2500 * MS);
-	ck_assert_uint_eq(count("word-left-aside", id, 1, NULL), 0);
-	fake_run(fake, 3 * USEC_PER_SEC);
-	ck_assert_uint_eq(count("word-left-aside", id, 1, "old-list"), 1);
+	fake_crash(fake, 2);
+	fake_run(fake, 3500 * MS);
+	ck_assert_uint_eq(count("word-left-aside", "s1", 1, NULL), n);
+	fake_run(fake, 2 * USEC_PER_SEC);
+	ck_assert_str_eq(last_why("s1"), "old-list");
+	ck_assert_uint_eq(count("word-left-aside", "s1", 1, NULL), n + 1);
 	end();
 }
 END_TEST
