relay: primary-confirmed tells each kind of evidence once

One line for each replica and primary said that a server's applied log had confirmed an old primary 1.1 to 1.4 s before; that lease was over, and the status that carried the write was not in the log. A change of primary writes at most two such lines for each replica now. Found in a review of the trace.

--- a/packages/relay/src/lead.c
+++ b/packages/relay/src/lead.c
@@ -137,14 +137,12 @@
 	rld_ask(v);
 }
 
-/* What shows that a replica was not paused. */
-enum evidence { BY_STATUS, BY_APPLIED };
-
 /*
- * Whose word a lease rests on, once for each replica and primary: what is told
- * as stored by mistake is traced to the server that was not fenced.
+ * Whose word a lease rests on, once for each replica, primary and evidence:
+ * what is told as stored by mistake is traced to the server that was not
+ * fenced.
  */
-static void log_confirmed(const struct rserver *by, enum evidence evidence,
+static void log_confirmed(const struct rserver *by, enum revidence evidence,
 			  uint64_t at_us, uint64_t now_us)
 {
 	const struct rservice *v = by->service;
@@ -156,7 +154,8 @@
 	log_cstr(l, "server", v->primary->info.id);
 	log_u64(l, "term", v->term);
 	log_cstr(l, "by", by->info.id);
-	log_cstr(l, "evidence", evidence == BY_STATUS ? "status" : "applied");
+	log_cstr(l, "evidence",
+		 evidence == EVIDENCE_STATUS ? "status" : "applied");
 	log_u64(l, "asked_ms", (now_us - MIN(at_us, now_us)) / USEC_PER_MSEC);
 	log_u64(l, "listed_ms",
 		(now_us - MIN(by->listed_us, now_us)) / USEC_PER_MSEC);
@@ -185,7 +184,7 @@
 }
 
 /* A replica was not paused at that time: the lease counts from then. */
-static void confirm(struct rserver *by, enum evidence evidence, uint64_t at_us,
+static void confirm(struct rserver *by, enum revidence evidence, uint64_t at_us,
 		    uint64_t now_us)
 {
 	struct rservice *v = by->service;
@@ -195,9 +194,9 @@
 	end_doubts(v, at_us);
 	v->confirmed_us = at_us;
 	v->confirmed_by = by;
-	if (by->confirmed_change == v->primary_changes)
+	if (by->confirmed_change[evidence] == v->primary_changes)
 		return;
-	by->confirmed_change = v->primary_changes;
+	by->confirmed_change[evidence] = v->primary_changes;
 	log_confirmed(by, evidence, at_us, now_us);
 }
 
@@ -360,7 +359,7 @@
 	s->agreed_term = v->term;
 	counts_us = word_us(s, now_us);
 	rlg_left_aside(s, counts_us, is_doubted(s, now_us));
-	confirm(s, BY_STATUS, counts_us, now_us);
+	confirm(s, EVIDENCE_STATUS, counts_us, now_us);
 }
 
 /* Takes in the status that the server gave to a probe sent at started_us. */
@@ -414,7 +413,7 @@
 		if (sample->us <= v->confirmed_us)
 			return;
 		if (position_cmp(sample->position, p) < 0) {
-			confirm(s, BY_APPLIED, sample->us, now_us);
+			confirm(s, EVIDENCE_APPLIED, sample->us, now_us);
 			return;
 		}
 	}
--- a/packages/relay/src/relay_internal.h
+++ b/packages/relay/src/relay_internal.h
@@ -82,6 +82,9 @@
 	uint64_t judged_us;
 };
 
+/* What shows that a replica was not paused. */
+enum revidence { EVIDENCE_STATUS, EVIDENCE_APPLIED, EVIDENCES };
+
 struct rserver {
 	struct relay *relay;
 	struct rservice *service;
@@ -119,8 +122,7 @@
 	bool doubted_as_new; /* since it was listed, not for a restart */
 	uint64_t agreed_us; /* it knew of no term above agreed_term then */
 	uint64_t agreed_term;
-	uint64_t
-		confirmed_change; /* the last primary_changes it confirmed in */
+	uint64_t confirmed_change[EVIDENCES]; /* the last primary_changes */
 	uint64_t left_aside_change; /* the last that its word was told in */
 	const char *left_aside_why; /* and the reason then */
 	uint64_t failing_us; /* since when probes fail, 0: they don't */
