relay: a promotion ends the pauses of all replicas, red

The platform ends a pause with a promotion, also that of a replica which has not heard of the new primary. For a moment, or for as long as the two can't reach each other, such a replica is in the old term, not paused, and confirms the old primary. The histories' platform let such pauses stand; two stories fail now that it ends them.

--- a/packages/relay/tests/support_platform.c
+++ b/packages/relay/tests/support_platform.c
@@ -138,6 +138,16 @@
 	fake_at(f, -1, STREAM_US, stream_event, data, NULL);
 }
 
+/* A promotion ends them everywhere, before others know of its term. */
+static void end_pauses(struct fake *f, unsigned group)
+{
+	unsigned i;
+
+	for (i = 0; i < f->n_servers; i++)
+		if (f->servers[i].group == group)
+			f->servers[i].held = 0;
+}
+
 /* What isn't in the new primary's log is lost, acknowledged or not. */
 static void promoted_event(struct fake *f, void *data)
 {
@@ -151,7 +161,7 @@
 	s->role = ROLE_PRIMARY;
 	s->led = true;
 	s->term = ++f->top_term[s->group];
-	s->held = 0;
+	end_pauses(f, s->group);
 	f->n_promotions++;
 	for (i = 1; i < f->commits->len; i++) {
 		struct fake_commit *c =
