relay: words that a promotion may have freed, and no second target beside it

What callers saw, first: a write at an old primary that came back was told as stored a moment after another server's promotion took effect. Cause: the platform ends all pauses with a promotion, and a replica that has not heard of the new term is not paused and in the old one. In the logs its status, asked within 13 ms of that moment, is what the lease rested on. Where the list is fresh, a replica whose process refuses connections is not waited for.

Second, behind it in the same test: a promotion without an answer was given up and another server was promoted under a new fence; the first took effect, was relied on, and was replaced by the second without a fence. Change: while a promotion may take effect its proxy names no other server, unless that one's process is gone.

--- a/packages/relay/src/change.c
+++ b/packages/relay/src/change.c
@@ -17,6 +17,8 @@
 
 #include <celeryquay/base/log.h>
 
+#include <string.h>
+
 #define CHANGE_US (2 * USEC_PER_SEC) /* one takes about this long */
 #define JITTER_US (80 * USEC_PER_MSEC)
 #define BACKOFF_US USEC_PER_SEC
@@ -486,21 +488,43 @@
 		give_up(v, "a replica could not be paused", now_us);
 }
 
+/*
+ * Failure: a promotion without an answer is given up, and another server is
+ * promoted. The first takes effect all the same, is relied on as the primary
+ * of its term, and is replaced by the second without a fence: what it stored
+ * meanwhile is told as stored and is gone. Guard: as long as a promotion may
+ * take effect no other server is named, unless the process of the first is
+ * gone.
+ */
+static bool may_be_named(const struct rservice *v, const struct rserver *target,
+			 uint64_t now_us)
+{
+	const struct rserver *told;
+
+	if (!v->told_to || !rch_is_told(v, now_us) ||
+	    !strcmp(v->told_to, target->info.id))
+		return true;
+	told = g_hash_table_lookup(v->relay->servers, v->told_to);
+	return !told || told->refused || told->moved;
+}
+
 static void promote(struct rservice *v, uint64_t now_us)
 {
 	struct relay *r = v->relay;
 
 	struct rserver *best = best_target(v);
 
-	/*
-	 * A try without an answer may take effect late. With another target
-	 * there could be two primaries that nobody fenced against each other.
-	 */
 	if (!best || (v->target && v->target != best)) {
 		give_up(v, "no server can take over", now_us);
 		return;
 	}
+	if (!may_be_named(v, best, now_us)) {
+		give_up(v, "another server's promotion may come", now_us);
+		return;
+	}
 	v->target = best;
+	g_free(v->told_to);
+	v->told_to = g_strdup(best->info.id);
 	v->told_us = now_us;
 	counter_add(r->n_promotions, 1);
 	enter(v, PHASE_PROMOTE, now_us);
--- a/packages/relay/src/lead.c
+++ b/packages/relay/src/lead.c
@@ -117,6 +117,14 @@
 	log_event_end(l);
 }
 
+static void set_term(struct rservice *v, uint64_t term, uint64_t now_us)
+{
+	if (term == v->term)
+		return;
+	v->term = term;
+	v->term_us = now_us;
+}
+
 static void set_primary(struct rservice *v, struct rserver *s, uint64_t now_us)
 {
 	if (v->primary == s)
@@ -133,7 +141,7 @@
 	if (s->status.term != v->samples_term)
 		v->n_samples = 0;
 	v->samples_term = s->status.term;
-	v->term = s->status.term;
+	set_term(v, s->status.term, now_us);
 	rld_ask(v);
 }
 
@@ -282,9 +290,15 @@
 	       is_list_fresh(r, now_us);
 }
 
-/* One that is told to leave, or whose address another has, isn't promoted. */
-static bool can_be_promoted(const struct rserver *s)
+/*
+ * One that is told to leave, or whose address another has, isn't promoted. Nor
+ * one whose process is gone, unless a partition says so, which shows with the
+ * age of the list.
+ */
+static bool can_be_promoted(const struct rserver *s, uint64_t now_us)
 {
+	if (s->refused && counts_elsewhere(s, now_us))
+		return false;
 	return s != s->service->primary && !s->info.leaving && !s->moved;
 }
 
@@ -292,7 +306,7 @@
  * When all that a change could promote last knew of none: the earliest of their
  * words, 0 when one of them doesn't say so.
  */
-static uint64_t all_agreed_us(const struct rservice *v)
+static uint64_t all_agreed_us(const struct rservice *v, uint64_t now_us)
 {
 	uint64_t earliest_us = NEVER_US;
 	unsigned i;
@@ -300,7 +314,7 @@
 	for (i = 0; i < v->servers->len; i++) {
 		const struct rserver *s = rservice_server(v, i);
 
-		if (!can_be_promoted(s))
+		if (!can_be_promoted(s, now_us))
 			continue;
 		if (s->agreed_term != v->term)
 			return 0;
@@ -310,18 +324,41 @@
 }
 
 /* Whether no other server is known that a change could promote. */
-static bool is_only_candidate(const struct rserver *s)
+static bool is_only_candidate(const struct rserver *s, uint64_t now_us)
 {
 	const struct rservice *v = s->service;
 	unsigned i;
 
 	for (i = 0; i < v->servers->len; i++)
 		if (rservice_server(v, i) != s &&
-		    can_be_promoted(rservice_server(v, i)))
+		    can_be_promoted(rservice_server(v, i), now_us))
 			return false;
 	return true;
 }
 
+/*
+ * Failure: a promotion takes effect and ends the pauses of all replicas. One
+ * that has not heard of the new primary yet is in the old term and not paused,
+ * and confirms the old primary. Guard: while a claim of the duty is so recent
+ * that its promotion may take effect, a word counts only together with that of
+ * all who may be promoted: that one is paused until it leads. It is over once
+ * a newer term shows that the change is.
+ */
+static bool may_be_changing(const struct rservice *v, uint64_t now_us)
+{
+	const struct relay *r = v->relay;
+
+	return r->guards.doubt_unpaused && r->duty_changed_us > v->term_us &&
+	       now_us < r->duty_changed_us + PROMOTED_WITHIN_US;
+}
+
+/* Whether what the server shows of the primary needs nobody else's word. */
+static bool counts_alone(const struct rserver *s, uint64_t now_us)
+{
+	return !is_doubted(s, now_us) && counts_elsewhere(s, now_us) &&
+	       !may_be_changing(s->service, now_us);
+}
+
 /*
  * From when a lease counts that rests on a replica's word, 0: on none. Who is
  * in doubt can't confirm that nothing is to be known of itself: it may be what
@@ -332,15 +369,28 @@
 	const struct relay *r = s->relay;
 	uint64_t agreed_us;
 
-	if (!is_doubted(s, now_us) && counts_elsewhere(s, now_us))
+	if (counts_alone(s, now_us))
 		return s->agreed_us;
-	if (is_doubted(s, now_us) && is_only_candidate(s) &&
+	if (is_doubted(s, now_us) && is_only_candidate(s, now_us) &&
 	    now_us < r->duty_used_us + PROMOTED_WITHIN_US)
 		return 0;
-	agreed_us = all_agreed_us(s->service);
+	agreed_us = all_agreed_us(s->service, now_us);
 	return agreed_us > s->doubted_us ? agreed_us : 0;
 }
 
+/*
+ * The server was paused and is not any more, in the same term: a change was
+ * given up, or a promotion has just taken effect.
+ */
+void rld_on_unpaused(struct rserver *s, uint64_t now_us)
+{
+	if (!s->relay->guards.doubt_unpaused)
+		return;
+	s->doubted_us = now_us;
+	s->agreed_us = 0;
+	rld_ask(s->service);
+}
+
 static void note_replica(struct rserver *s, uint64_t started_us,
 			 uint64_t now_us)
 {
@@ -351,7 +401,7 @@
 		set_primary(v, NULL, now_us);
 	if (s->status.term > v->term) {
 		set_primary(v, NULL, now_us);
-		v->term = s->status.term;
+		set_term(v, s->status.term, now_us);
 	}
 	if (!v->primary || s->status.held > v->term)
 		return;
@@ -429,8 +479,7 @@
 		return;
 	sample = newest_covered(v, p);
 	s->lag_us = sample ? now_us - MIN(sample->us, now_us) : NEVER_US;
-	if (s->status.held <= v->term && !is_doubted(s, now_us) &&
-	    counts_elsewhere(s, now_us))
+	if (s->status.held <= v->term && counts_alone(s, now_us))
 		note_unpaused(s, p, now_us);
 }
 
--- a/packages/relay/src/relay_internal.h
+++ b/packages/relay/src/relay_internal.h
@@ -176,6 +176,7 @@
 
 	struct rserver *primary; /* NULL: not known */
 	uint64_t term; /* the highest that was seen */
+	uint64_t term_us; /* for the first time then */
 	uint64_t primary_changes; /* how often another was taken for it */
 	uint64_t confirmed_us; /* a replica knew of no higher term then */
 	struct rserver *confirmed_by; /* this one; NULL: none, or it is gone */
@@ -198,6 +199,7 @@
 	uint64_t fence_term;
 	uint64_t fenced_us;
 	uint64_t told_us; /* the platform was then, 0: never */
+	char *told_to; /* to promote this one, by its id */
 	bool told_before; /* and may act yet on what an earlier fence was for */
 };
 
@@ -292,6 +294,7 @@
 	bool limit_in_flight; /* what would queue at a server waits here */
 	bool doubt_reborn; /* what a server knew before its start is gone */
 	bool claim_after_fence; /* no server is missing in the fence */
+	bool doubt_unpaused; /* a promotion ends pauses, too */
 	bool doubt_newcomers; /* who was just listed may know of no change */
 	bool check_list_age; /* a word may count here alone */
 	bool leave_when_cut_off; /* callers go to proxies that can serve */
@@ -505,6 +508,7 @@
 void rld_on_position(struct rserver *s, struct position p, uint64_t sent_us);
 void rld_ask(struct rservice *v);
 void rld_on_listed(struct rserver *s, uint64_t now_us);
+void rld_on_unpaused(struct rserver *s, uint64_t now_us);
 void rld_on_doubt(struct rserver *s, uint64_t now_us);
 bool rld_wants(const struct rservice *v, uint64_t now_us);
 void rld_on_applied(struct rserver *s, struct position p, uint64_t now_us);
--- a/packages/relay/src/server.c
+++ b/packages/relay/src/server.c
@@ -222,6 +222,8 @@
 void rsv_heard(struct rserver *s, const struct relay_answer *answer,
 	       uint64_t sent_us, uint64_t now_us)
 {
+	bool was_paused, same_term;
+
 	if (s->failing_us)
 		log_back(s, now_us);
 	s->heard_us = now_us;
@@ -235,8 +237,12 @@
 	}
 	if (!answer->has_status)
 		return;
+	was_paused = s->status.held > s->status.term;
+	same_term = s->status.term == answer->status.term;
 	s->status = answer->status;
 	s->status_us = sent_us;
+	if (was_paused && same_term && s->status.held <= s->status.term)
+		rld_on_unpaused(s, now_us);
 	rld_on_status(s, sent_us, now_us);
 	rch_on_status(s, now_us);
 }
@@ -418,6 +424,7 @@
 	g_ptr_array_free(v->servers, TRUE);
 	g_ptr_array_free(v->homes, TRUE);
 	g_ptr_array_free(v->spares, TRUE);
+	g_free(v->told_to);
 	g_free(v->name);
 	g_free(v);
 }
