--- a/packages/relay/src/relay_internal.h
+++ b/packages/relay/src/relay_internal.h
@@ -168,6 +168,7 @@
 	uint64_t usable_us; /* a primary could be used here then */
 	uint64_t in_vain_us; /* since when statements want it in vain, or 0 */
 	GPtrArray *servers; /* struct rserver */
+	bool had_others; /* more than one at once */
 
 	struct rserver *primary; /* NULL: not known */
 	uint64_t term; /* the highest that was seen */
@@ -331,7 +332,7 @@
 	uint64_t duty_revision;
 	char *duty_holder;
 	uint64_t duty_changed_us;
-	uint64_t duty_used_us; /* somebody may have told the platform then */
+	uint64_t duty_used_us; /* another may have been at a change then */
 	bool claiming;
 	uint64_t claimed_us; /* start of the claim that gave the token */
 	uint64_t claim_sent_us;
