relay: a new server's word is told as new after its first connection, too

A first connection raises a doubt of its own since, so that new servers were told as restarted, and test_lease_log's assumption on which replica was told at the start no longer held.

--- a/packages/relay/src/rlog.c
+++ b/packages/relay/src/rlog.c
@@ -284,12 +284,17 @@
 		log_event_end(l);
 }
 
-/* Why a word does not count alone. */
+/*
+ * Why a word does not count alone. A server that was listed only now is new
+ * also when its first connection raises the doubt once more.
+ */
 static const char *why_left_aside(const struct rserver *by, bool is_doubted)
 {
 	if (!is_doubted)
 		return "old-list";
-	return by->doubted_us == by->listed_us ? "new" : "restarted";
+	if (by->doubted_us < by->listed_us + PROMOTED_WITHIN_US)
+		return "new";
+	return "restarted";
 }
 
 /*
