relay: who leaves counts among all beyond a partition

What callers saw in the story: writes at an old primary, told as stored, were gone when a partition ended. Their proxy knew on the other side one replica only, which was about to leave and so not waited for; a server that the proxy had never heard of was promoted there. By a list that is not fresh, servers that leave or refuse connections are waited for as well.

A server listed just before a partition, beside servers that are all on the proxy's own side, is not covered: open.

--- a/packages/relay/src/change.c
+++ b/packages/relay/src/change.c
@@ -335,7 +335,7 @@
 /* After the platform was told, the target is the primary at any moment. */
 static bool must_be_paused(const struct rservice *v, const struct rserver *s)
 {
-	if (s == v->target && v->phase >= PHASE_PROMOTE)
+	if (v->phase >= PHASE_PROMOTE && s == v->target)
 		return false;
 	if (is_gone_beside(v, s))
 		return false;
--- a/packages/relay/src/lead.c
+++ b/packages/relay/src/lead.c
@@ -291,15 +291,16 @@
 }
 
 /*
- * One that is told to leave, or whose address another has, isn't promoted. Nor
- * one whose process is gone, unless a partition says so, which shows with the
- * age of the list.
+ * One whose address another has isn't promoted. By a list that is fresh, nor is
+ * one that is told to leave, or whose process is gone; without it, a partition
+ * may stand between, and who leaves may be all that is known of the other side.
  */
 static bool can_be_promoted(const struct rserver *s, uint64_t now_us)
 {
-	if (s->refused && counts_elsewhere(s, now_us))
+	if (s == s->service->primary || s->moved)
 		return false;
-	return s != s->service->primary && !s->info.leaving && !s->moved;
+	return !is_list_fresh(s->relay, now_us) ||
+	       (!s->info.leaving && !s->refused);
 }
 
 /*
--- a/packages/relay/tests/test_late_news.c
+++ b/packages/relay/tests/test_late_news.c
@@ -77,6 +77,21 @@
 	return story_end(f);
 }
 
+static char *new_server_beyond_a_partition(uint32_t seed)
+{
+	struct fake *f = start(seed);
+	unsigned lonely = seed % STORY_RELAYS;
+	unsigned replica = 1 + seed / STORY_RELAYS % 2;
+
+	fake_leave(f, replica, 60 * USEC_PER_SEC);
+	fake_run(f, 500 * MS);
+	part(f, lonely, replica);
+	fake_run(f, fake_random(f, 0, 1000) * MS);
+	fake_cut(f, lonely, fake_join(f, 0), true);
+	fake_run(f, 14 * USEC_PER_SEC);
+	return story_end(f);
+}
+
 static void list_alone(struct fake *f, unsigned relay, unsigned server)
 {
 	struct fake_server *s = &f->servers[server];
@@ -177,6 +192,16 @@
 }
 END_TEST
 
+/*
+ * The same, where the replica on the other side is about to leave and a server
+ * that the proxy has never heard of is promoted.
+ */
+START_TEST(test_a_new_server_beyond_a_partition)
+{
+	story_check_promises(new_server_beyond_a_partition);
+}
+END_TEST
+
 START_TEST(test_servers_that_are_gone_are_noticed)
 {
 	story_check_is_noticed(servers_that_are_gone_elsewhere,
@@ -223,6 +248,7 @@
 	tcase_add_test(tc, test_a_promotion_that_takes_effect_late);
 	tcase_add_test(tc, test_promotions_that_are_given_up);
 	tcase_add_test(tc, test_servers_that_are_gone_elsewhere);
+	tcase_add_test(tc, test_a_new_server_beyond_a_partition);
 	tcase_add_test(tc, test_servers_that_are_gone_are_noticed);
 	tcase_add_test(tc, test_a_list_with_the_old_primary_alone);
 	tcase_add_test(tc, test_a_replica_that_is_not_reached);
