soak: servers join, leave and come back under other ids in a change of primary

What callers saw: a write told as stored, at a primary that had been replaced.

Cause: its groups had the same three servers for a whole run, apart from planned replacements at the same address, and promotions took effect 0.3 s after each call. No server was ever there that a change had not fenced.

Change: a group has eight places. New replicas join with the others' log and without a pause, at a free address or where one crashed; servers leave; a crashed one is back with its log under another id, at its address or another, or under its own id with a later `born`; the old entry stays until it lapses; entries lapse while their servers live; promotions take effect late, or late and without an answer, which the proxy waits for in vain. The most files that a proxy may have are counted from the most servers that there were at a time, not from the places.

Ruled out: that servers which come and go are enough. Calls without an answer stay open now, reports of a late promotion take 0.1 s, and a proxy may not hear the store for a while.

--- a/tests/soak/group.c
+++ b/tests/soak/group.c
@@ -1,15 +1,16 @@
 #include "group.h"
 
-#include "server.h"
+#include "member.h"
 
 #include <string.h>
 
 #define STREAM_MS 4
 #define FOLLOW_US SEC /* an old primary follows a new one after that */
 #define PROMOTE_US (300 * MS)
-#define GONE_US (3600 * MS) /* three heartbeats of silence */
-#define DRAIN_US (7 * SEC)
+#define ANSWER_US SEC /* what takes longer is not answered */
+#define REPORT_US (100 * MS) /* until the store has a late one's new role */
 #define LAG_US (8 * MS)
+#define AGE_US (3600 * (int64_t)SEC) /* of the first servers */
 
 static bool is_on_line(const struct server *s)
 {
@@ -51,40 +52,6 @@
 	return (struct position){ .term = s->term, .index = s->applied };
 }
 
-/* Writes its entry in the store's list. */
-void group_list_server(const struct server *s)
-{
-	char *key = g_strconcat("servers/", s->id, NULL);
-	char *value = g_strdup_printf(
-		"{\"service\":\"group%u\",\"address\":\"127.0.0.1:%u\","
-		"\"zone\":\"a\",\"version\":\"1\",\"capacity\":%u,"
-		"\"state\":\"%s\",\"coldRemainingMs\":0,\"seq\":1,"
-		"\"dbRole\":\"%s\"}",
-		s->group, s->port, SLOTS, s->leaving ? "draining" : "ready",
-		s->role == ROLE_PRIMARY ? "primary" : "replica");
-
-	store_put(s->groups->store, key, value);
-	g_free(value);
-	g_free(key);
-}
-
-static void unlist(const struct server *s)
-{
-	char *key = g_strconcat("servers/", s->id, NULL);
-
-	store_put(s->groups->store, key, NULL);
-	g_free(key);
-}
-
-/* All of them, once their ports are known. */
-void groups_list(struct groups *g)
-{
-	unsigned i;
-
-	for (i = 0; i < g->n * GROUP_SIZE; i++)
-		group_list_server(&g->servers[i]);
-}
-
 /* Rolls back what the primary's log hasn't, and follows its term. */
 static void join_term(struct server *s, const struct server *p)
 {
@@ -100,7 +67,7 @@
 	s->role = ROLE_REPLICA;
 	s->reaches_us = 0;
 	if (led)
-		group_list_server(s);
+		member_list(s);
 }
 
 static void receive(struct server *s, const struct server *p, uint64_t now_us)
@@ -177,15 +144,34 @@
 		stream(&g->servers[i], now_us);
 }
 
+/* NULL: no process has that id, or ever had. */
+struct server *group_find(struct groups *g, const char *id)
+{
+	unsigned i;
+
+	for (i = 0; i < g->n * GROUP_SIZE; i++)
+		if (!strcmp(g->servers[i].id, id))
+			return &g->servers[i];
+	return NULL;
+}
+
+/* For a call that frees it. */
+struct due *group_due(const struct server *s)
+{
+	struct due *d = g_new0(struct due, 1);
+
+	d->groups = s->groups;
+	memcpy(d->id, s->id, sizeof(d->id));
+	d->crashed_us = s->crashed_us;
+	return d;
+}
+
 /* What isn't in the new primary's log is lost, acknowledged or not. */
-static void on_promoted(void *data)
+static void lead(struct server *s)
 {
-	struct server *s = data;
 	struct groups *g = s->groups;
 	unsigned i;
 
-	if (s->down || s->role == ROLE_PRIMARY)
-		return;
 	s->applied = s->log->len;
 	s->role = ROLE_PRIMARY;
 	s->term = ++g->top_term[s->group];
@@ -197,25 +183,35 @@
 		if (c->group == s->group && !group_has(s, i))
 			c->lost = true;
 	}
-	group_list_server(s);
 }
 
-static struct server *find(struct groups *g, const char *id)
+static void on_reported(void *data)
 {
-	unsigned i;
+	struct due *d = data;
+	const struct server *s = group_find(d->groups, d->id);
 
-	for (i = 0; i < g->n * GROUP_SIZE; i++)
-		if (!strcmp(g->servers[i].id, id))
-			return &g->servers[i];
-	return NULL;
+	if (s && !s->down)
+		member_list(s);
+	g_free(d);
+}
+
+static void on_promoted(void *data)
+{
+	struct due *d = data;
+	struct server *s = group_find(d->groups, d->id);
+
+	if (s && !s->down && s->role != ROLE_PRIMARY)
+		lead(s);
+	later(d->groups->loop, d->groups->late_us ? REPORT_US : 0, on_reported,
+	      d);
 }
 
-/* The call that the platform takes; its status. */
+/* The call that the platform takes; its status, 0: no answer comes. */
 unsigned groups_promote(void *ctx, const char *service, const char *id,
 			const char *holder, uint64_t token)
 {
 	struct groups *g = ctx;
-	struct server *s = find(g, id);
+	struct server *s = group_find(g, id);
 
 	(void)service;
 	if (token < g->token ||
@@ -228,9 +224,10 @@
 	g->holder = g_strdup(holder);
 	if (!s || s->down)
 		return 409;
-	if (s->role != ROLE_PRIMARY)
-		later(g->loop, PROMOTE_US, on_promoted, s);
-	return 200;
+	if (s->role == ROLE_PRIMARY)
+		return 200;
+	later(g->loop, PROMOTE_US + g->late_us, on_promoted, group_due(s));
+	return g->late_us < ANSWER_US ? 200 : 0;
 }
 
 /* Appends to the primary's log. */
@@ -260,66 +257,6 @@
 	return place;
 }
 
-static void on_gone(void *data)
-{
-	struct server *s = data;
-
-	if (s->down)
-		unlist(s);
-}
-
-/* Its process ends; what it stored stays. */
-void group_crash(struct server *s)
-{
-	if (s->down)
-		return;
-	s->down = true;
-	s->dark = false;
-	s->held = 0;
-	server_cut(s);
-	later(s->groups->loop, GONE_US, on_gone, s);
-}
-
-/* Back with its log, as a replica if another was promoted. */
-void group_restart(struct server *s)
-{
-	s->dark = false;
-	if (!s->down)
-		return;
-	s->down = false;
-	if (s->term < s->groups->top_term[s->group])
-		s->role = ROLE_REPLICA;
-	group_list_server(s);
-}
-
-static void on_drained(void *data)
-{
-	struct server *s = data;
-
-	if (!s->leaving)
-		return;
-	server_cut(s);
-	unlist(s);
-	s->leaving = false;
-	s->down = false;
-	s->dark = false;
-	s->held = 0;
-	s->role = ROLE_REPLICA;
-	g_snprintf(s->id, sizeof(s->id), "s%u-%u", s->index,
-		   ++s->groups->n_replaced);
-	group_list_server(s);
-}
-
-/* One that led has had its drain time to be replaced as primary. */
-void group_release(struct server *s)
-{
-	if (s->leaving || s->down)
-		return;
-	s->leaving = true;
-	group_list_server(s);
-	later(s->groups->loop, DRAIN_US, on_drained, s);
-}
-
 static void create_server(struct groups *g, unsigned index)
 {
 	struct server *s = &g->servers[index];
@@ -327,6 +264,9 @@
 	s->groups = g;
 	s->index = index;
 	s->group = index / GROUP_SIZE;
+	s->absent = index % GROUP_SIZE >= GROUP_FIRST;
+	s->down = s->absent;
+	s->born_us = g_get_real_time() - AGE_US;
 	g_snprintf(s->id, sizeof(s->id), "s%u", index);
 	s->role = index % GROUP_SIZE ? ROLE_REPLICA : ROLE_PRIMARY;
 	s->term = 1;
@@ -346,6 +286,7 @@
 	g->audit = audit;
 	g->rng = rng;
 	g->n = n;
+	g->n_most = n * GROUP_FIRST;
 	g->max_connections = max_connections;
 	g->commits = g_array_new(FALSE, TRUE, sizeof(struct group_commit));
 	g_array_set_size(g->commits, 1);
--- a/tests/soak/group.h
+++ b/tests/soak/group.h
@@ -2,9 +2,9 @@
 #define SOAK_GROUP_H
 
 /*
- * Groups of three servers with a replicated log: who leads, in which term,
- * what each has received and applied, and the platform's promotions.
- * Connections to them: server.h.
+ * Groups of servers with a replicated log: who leads, in which term, what each
+ * has received and applied, and the platform's promotions. Connections to them:
+ * server.h; how they come and go: member.h.
  */
 
 #include "audit.h"
@@ -13,7 +13,8 @@
 
 #include <uv.h>
 
-#define GROUP_SIZE 3
+#define GROUP_FIRST 3 /* servers at the start */
+#define GROUP_SIZE 8 /* places for servers, each has an address */
 #define GROUPS_MAX 2
 #define SERVERS_MAX (GROUPS_MAX * GROUP_SIZE)
 #define SLOTS 3
@@ -30,13 +31,17 @@
 	bool lost; /* a promotion rolled it back */
 };
 
+/* A place, and the process that has it. */
 struct server {
 	struct groups *groups;
 	unsigned index;
 	unsigned group;
 	char id[SERVER_ID_SIZE];
 	uint16_t port; /* that proxies are told */
+	bool absent; /* no process has the place; it is down, too */
 	bool down;
+	uint64_t crashed_us;
+	int64_t born_us; /* wall clock */
 	bool dark; /* it neither reads nor answers */
 	bool leaving;
 	enum server_role role;
@@ -82,25 +87,30 @@
 	uint64_t token;
 	char *holder;
 	unsigned n_promotions;
-	unsigned n_replaced;
+	uint64_t late_us; /* later than usual a promotion takes effect */
+	unsigned n_ids; /* given to processes since the start */
+	unsigned n_most; /* servers at a time */
 	unsigned n_conns; /* ever, for their numbers */
 };
 
+/* What happens to a process later, unless it has ended by then. */
+struct due {
+	struct groups *groups;
+	char id[SERVER_ID_SIZE];
+	uint64_t crashed_us; /* before: the last time */
+	bool replaced; /* when it has drained */
+};
+
 struct groups *groups_create(uv_loop_t *loop, struct audit *audit, GRand *rng,
 			     unsigned n, unsigned max_connections);
-/* The servers' ports are known: they are listed in the store. */
-void groups_list(struct groups *g);
 unsigned groups_promote(void *ctx, const char *service, const char *id,
 			const char *holder, uint64_t token);
-void group_crash(struct server *s);
-void group_restart(struct server *s);
-/* It drains, and another takes its place with its log. */
-void group_release(struct server *s);
 /* Places the commit in the primary's log; its place. */
 unsigned group_commit(struct server *s, struct attempt *attempt);
 struct group_commit *group_commit_at(const struct groups *g, unsigned place);
 bool group_has(const struct server *s, unsigned place);
-void group_list_server(const struct server *s);
+struct due *group_due(const struct server *s);
+struct server *group_find(struct groups *g, const char *id);
 struct server *group_primary(struct groups *g, unsigned group);
 struct position group_position(const struct server *s);
 
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -4,6 +4,7 @@
  * decides. What callers and servers see is checked against every promise of
  * the relay while it runs.
  */
+#include "member.h"
 #include "plan.h"
 #include "server.h"
 
@@ -39,6 +40,7 @@
 	int recover_seconds;
 	int jobs;
 	gboolean show_plan;
+	gboolean stay;
 	gboolean serve;
 };
 
@@ -148,7 +150,7 @@
 				  soak.groups, store_port(soak.store));
 	if (!soak.fleet)
 		return false;
-	groups_list(soak.groups);
+	members_list(soak.groups);
 	while (!fleet_all_ready(soak.fleet) && later_now_us() < until_us)
 		uv_run(&soak.loop, UV_RUN_ONCE);
 	if (!fleet_all_ready(soak.fleet))
@@ -156,9 +158,10 @@
 	soak.callers = callers_create(soak.fleet, soak.groups, rng,
 				      (unsigned)soak.options.callers);
 	soak.plan = plan_create((uint32_t)soak.options.seed, n_proxies,
-				soak.groups->n * GROUP_SIZE,
+				soak.groups->n * GROUP_FIRST,
 				(uint64_t)soak.options.seconds * SEC,
-				(unsigned)soak.options.gap_ms);
+				(unsigned)soak.options.gap_ms,
+				soak.options.stay);
 	return true;
 }
 
@@ -168,8 +171,9 @@
 
 	store_set_fault(soak.store, STORE_GOOD);
 	fleet_fault(soak.fleet, "/heal", "{\"reset_silent\":true}");
+	soak.groups->late_us = 0;
 	for (i = 0; i < soak.groups->n * GROUP_SIZE; i++)
-		group_restart(&soak.groups->servers[i]);
+		member_restart(&soak.groups->servers[i]);
 	for (i = 0; i < soak.fleet->n; i++)
 		fleet_signal(&soak.fleet->proxies[i], SIGCONT);
 }
@@ -217,7 +221,7 @@
 	unsigned n_callers = (unsigned)soak.options.callers;
 
 	return FILES_FIXED + n_proxies * g->n * DATABASES +
-	       g->n * GROUP_SIZE * g->max_connections +
+	       g->n_most * g->max_connections +
 	       CALLERS_CROWD * n_callers / n_proxies;
 }
 
@@ -417,6 +421,9 @@
 		  "Where the proxies' logs go, a folder for each seed", "DIR" },
 		{ "serve", 0, 0, G_OPTION_ARG_NONE, &o->serve,
 		  "No callers and no faults: for a look by hand", NULL },
+		{ "stay", 0, 0, G_OPTION_ARG_NONE, &o->stay,
+		  "No server joins, leaves or comes back under another id",
+		  NULL },
 		{ "plan", 0, 0, G_OPTION_ARG_NONE, &o->show_plan,
 		  "Print the faults of each seed", NULL },
 		G_OPTION_ENTRY_NULL
--- a/tests/soak/plan.c
+++ b/tests/soak/plan.c
@@ -1,8 +1,19 @@
 #include "plan.h"
 
+#include "member.h"
+
 #include <signal.h>
 
 #define FIRST_US (500 * MS)
+#define CHANGES_SEED 0x6d656d62 /* they draw beside the other faults */
+#define CHANGES_FIRST_US (1500 * MS)
+#define CHANGES_LEAST_MS 2000 /* from one to the next */
+#define CHANGES_MOST_MS 5000
+#define CHANGE_US (3 * SEC)
+#define CRASH_FENCE_MS 250
+#define DARK_FENCE_MS 900
+#define CALMER 4 /* times as rare are other faults in half of the seeds */
+#define CROWDED 4 /* a group of more servers has one leave */
 
 enum action {
 	KILL,
@@ -22,6 +33,21 @@
 	MUTE,
 	MUTE_NO_MORE,
 	RELEASE,
+	LEAD_CRASH,
+	LEAD_DARK,
+	LEAD_RELEASE,
+	LEAD_LEAVE,
+	LEAD_LAPSE,
+	REPLICA_CRASH,
+	REPLICA_LAPSE,
+	REPLICA_LEAVE,
+	JOIN,
+	JOIN_SAME, /* where one has crashed, which is given up */
+	BACK, /* who crashed last, under its id */
+	RETURN_SAME, /* and under another, at its address or another one */
+	RETURN_OTHER,
+	THIN_OUT,
+	PROMOTE_LATE, /* from now on */
 	STORE_FAULT,
 	STORE_FINE,
 	FORGET,
@@ -52,6 +78,21 @@
 	[MUTE] = "mute",
 	[MUTE_NO_MORE] = "mute no more",
 	[RELEASE] = "release",
+	[LEAD_CRASH] = "crash the primary",
+	[LEAD_DARK] = "darken the primary",
+	[LEAD_RELEASE] = "release the primary",
+	[LEAD_LEAVE] = "the primary leaves",
+	[LEAD_LAPSE] = "the primary's entry lapses",
+	[REPLICA_CRASH] = "crash a replica",
+	[REPLICA_LAPSE] = "a replica's entry lapses",
+	[REPLICA_LEAVE] = "a replica leaves",
+	[JOIN] = "join",
+	[JOIN_SAME] = "join where one crashed",
+	[BACK] = "back",
+	[RETURN_SAME] = "back under another id",
+	[RETURN_OTHER] = "back under another id and address",
+	[THIN_OUT] = "thin out",
+	[PROMOTE_LATE] = "late promotions",
 	[STORE_FAULT] = "store fault",
 	[STORE_FINE] = "store fine",
 	[FORGET] = "store forgets",
@@ -78,7 +119,7 @@
 	GRand *rng;
 	GArray *events;
 	unsigned n_proxies;
-	unsigned n_servers;
+	unsigned n_servers; /* at the start */
 	struct fleet *fleet;
 	struct groups *groups;
 	struct store *store;
@@ -102,6 +143,12 @@
 	g_array_append_val(p->events, e);
 }
 
+/* Where a server that is there at the start has its place. */
+static unsigned place_of(unsigned server)
+{
+	return server / GROUP_FIRST * GROUP_SIZE + server % GROUP_FIRST;
+}
+
 static void add_route(struct plan *p, uint64_t at_us, uint64_t end_us)
 {
 	static const enum action kinds[] = { RESET_ROUTE, DELAY_ROUTE,
@@ -113,6 +160,8 @@
 	e.route = (enum route_kind)draw(p, 0, ROUTES);
 	e.index = draw(p, 0,
 		       e.route == ROUTE_SERVER ? p->n_servers : p->n_proxies);
+	if (e.route == ROUTE_SERVER)
+		e.index = place_of(e.index);
 	e.amount = draw(p, 20, 250);
 	g_array_append_val(p->events, e);
 	e.action = HEAL_ROUTE;
@@ -124,7 +173,7 @@
 static void add_fault(struct plan *p, uint64_t at_us)
 {
 	unsigned proxy = draw(p, 0, p->n_proxies);
-	unsigned server = draw(p, 0, p->n_servers);
+	unsigned server = place_of(draw(p, 0, p->n_servers));
 	uint64_t end_us = at_us + draw(p, 300, 3500) * MS;
 	unsigned what = draw(p, 0, 100);
 
@@ -169,6 +218,107 @@
 	}
 }
 
+/* How the primary goes; about when the replicas are paused for it. */
+static unsigned add_lead_fault(struct plan *p, uint64_t at_us, unsigned group)
+{
+	unsigned what = draw(p, 0, 10);
+
+	if (what < 7) {
+		add(p, at_us, LEAD_CRASH, group, 0);
+		return CRASH_FENCE_MS;
+	}
+	if (what < 8) {
+		add(p, at_us, LEAD_DARK, group, 0);
+		return DARK_FENCE_MS;
+	}
+	add(p, at_us, what == 8 ? LEAD_RELEASE : LEAD_LEAVE, group, 0);
+	return 0;
+}
+
+static void add_return(struct plan *p, uint64_t at_us, unsigned group)
+{
+	static const enum action kinds[] = { RETURN_SAME,  RETURN_SAME,
+					     RETURN_OTHER, RETURN_OTHER,
+					     BACK,	   JOIN_SAME };
+
+	add(p, at_us, kinds[draw(p, 0, G_N_ELEMENTS(kinds))], group, 0);
+}
+
+/* Some proxies' lists trail. */
+static void add_deaf_proxy(struct plan *p, uint64_t at_us)
+{
+	struct event e = { .plan = p,
+			   .at_us = at_us,
+			   .action = SILENCE_ROUTE,
+			   .route = ROUTE_STORE };
+
+	e.index = draw(p, 0, p->n_proxies);
+	g_array_append_val(p->events, e);
+	e.action = HEAL_ROUTE;
+	e.at_us += draw(p, 300, 6000) * MS;
+	g_array_append_val(p->events, e);
+}
+
+/* One of what happens to other servers near a change of primary. */
+static void add_beside(struct plan *p, uint64_t at_us, unsigned group)
+{
+	unsigned what = draw(p, 0, 100), pick = draw(p, 0, GROUP_SIZE);
+
+	if (what < 55) {
+		add(p, at_us, JOIN, group, 0);
+	} else if (what < 65) {
+		add(p, at_us, REPLICA_CRASH, group, pick);
+		add_return(p, at_us + draw(p, 200, 1500) * MS, group);
+	} else if (what < 73) {
+		add(p, at_us, REPLICA_LAPSE, group, draw(p, 200, 2000));
+	} else if (what < 79) {
+		add(p, at_us, LEAD_LAPSE, group, draw(p, 200, 2000));
+	} else if (what < 86) {
+		add(p, at_us, REPLICA_LEAVE, group, pick);
+	} else if (what < 96) {
+		add_deaf_proxy(p, at_us);
+	} else {
+		add(p, at_us, FORGET, 0, 0);
+	}
+}
+
+/*
+ * A primary goes, and within about a second servers of its group come, go and
+ * come back: any time, and more often between the replicas' pauses and the
+ * promotion, which takes effect late. Some changes meet another group's.
+ */
+static void add_change(struct plan *p, uint64_t at_us)
+{
+	unsigned group = draw(p, 0, p->n_servers / GROUP_FIRST);
+	unsigned late_ms = draw(p, 0, 5) ? draw(p, 200, 600) :
+					   draw(p, 1000, 2500);
+	unsigned n = draw(p, 2, 5), i;
+	uint64_t fence_us = at_us + add_lead_fault(p, at_us, group) * MS;
+	uint64_t back_us = fence_us + draw(p, 350, 1250) * MS;
+
+	add(p, at_us, PROMOTE_LATE, group, late_ms);
+	for (i = 0; i < n; i++)
+		add_beside(p,
+			   i % 2 ? at_us + draw(p, 0, 2000) * MS - 700 * MS :
+				   fence_us + draw(p, 0, 500) * MS,
+			   group);
+	add_return(p, back_us, group);
+	if (draw(p, 0, 2))
+		add_deaf_proxy(p, back_us + draw(p, 100, 500) * MS);
+	add(p, at_us + CHANGE_US, THIN_OUT, group, 0);
+}
+
+/* In series, and now and then two groups at a time. */
+static void add_changes(struct plan *p, uint64_t length_us)
+{
+	uint64_t at_us = CHANGES_FIRST_US;
+
+	while (at_us + CHANGE_US < length_us) {
+		add_change(p, at_us);
+		at_us += draw(p, CHANGES_LEAST_MS, CHANGES_MOST_MS) * MS;
+	}
+}
+
 static gint by_time(gconstpointer a, gconstpointer b)
 {
 	const struct event *x = a, *y = b;
@@ -176,17 +326,26 @@
 	return (x->at_us > y->at_us) - (x->at_us < y->at_us);
 }
 
-/* Faults until length_us, on average one in gap_ms; some overlap. */
+/*
+ * Faults until length_us, on average one in gap_ms; some overlap. The servers
+ * come and go besides, unless they are to stay, and then half of the seeds have
+ * fewer other faults, which hide what the changes alone do.
+ */
 struct plan *plan_create(uint32_t seed, unsigned n_proxies, unsigned n_servers,
-			 uint64_t length_us, unsigned gap_ms)
+			 uint64_t length_us, unsigned gap_ms, bool stay)
 {
 	struct plan *p = g_new0(struct plan, 1);
 	uint64_t at_us = FIRST_US;
 
-	p->rng = g_rand_new_with_seed(seed);
+	p->rng = g_rand_new_with_seed(seed ^ CHANGES_SEED);
 	p->events = g_array_new(FALSE, FALSE, sizeof(struct event));
 	p->n_proxies = n_proxies;
 	p->n_servers = n_servers;
+	if (!stay) {
+		gap_ms *= draw(p, 0, 2) ? CALMER : 1;
+		add_changes(p, length_us);
+	}
+	g_rand_set_seed(p->rng, seed);
 	while (at_us < length_us) {
 		add_fault(p, at_us);
 		at_us += draw(p, 1, 2 * gap_ms) * MS;
@@ -211,6 +370,8 @@
 				       e->index);
 	else if (e->action >= STORE_FAULT)
 		g_string_append_printf(out, "%u", e->amount);
+	else if (e->action >= LEAD_CRASH)
+		g_string_append_printf(out, "group%u %u", e->index, e->amount);
 	else
 		g_string_append_printf(out, "%s-%u %u",
 				       e->action >= CRASH ? "server" : "proxy",
@@ -274,13 +435,13 @@
 
 	switch (e->action) {
 	case CRASH:
-		group_crash(s);
+		member_crash(s);
 		break;
 	case DARK:
 		s->dark = !s->down;
 		break;
 	case RESTART:
-		group_restart(s);
+		member_restart(s);
 		break;
 	case LAG:
 		s->lag_us = e->amount * MS;
@@ -301,11 +462,78 @@
 		s->mutes = 0;
 		break;
 	default:
-		group_release(s);
+		member_release(s);
 		break;
 	}
 }
 
+/* One of a crowd leaves, so that others can join later. */
+static void thin_out(struct groups *g, unsigned group)
+{
+	struct server *s = member_replica(g, group, 0);
+	unsigned i, n = 0;
+
+	for (i = 0; i < GROUP_SIZE; i++)
+		n += !g->servers[group * GROUP_SIZE + i].down;
+	if (s && n > CROWDED)
+		member_leave(s);
+}
+
+static void run_member(const struct event *e, struct server *s)
+{
+	if (e->action == LEAD_CRASH || e->action == REPLICA_CRASH)
+		member_crash(s);
+	else if (e->action == LEAD_LAPSE || e->action == REPLICA_LAPSE)
+		member_lapse(s, e->amount * MS);
+	else if (e->action == LEAD_DARK)
+		s->dark = true;
+	else if (e->action == LEAD_RELEASE)
+		member_release(s);
+	else
+		member_leave(s);
+}
+
+/* Who is dark is seen again, whoever comes. */
+static void run_return(const struct event *e)
+{
+	struct groups *g = e->plan->groups;
+	struct server *crashed = member_crashed(g, e->index);
+	struct server *place = member_free_place(g, e->index);
+	unsigned i;
+
+	for (i = 0; e->action != JOIN && i < GROUP_SIZE; i++)
+		g->servers[e->index * GROUP_SIZE + i].dark = false;
+	if (e->action == JOIN && place)
+		member_join(place);
+	else if (e->action == JOIN_SAME && crashed)
+		member_join(crashed);
+	else if (e->action == BACK && crashed)
+		member_restart(crashed);
+	else if (e->action == RETURN_SAME && crashed)
+		member_return(crashed, crashed);
+	else if (e->action == RETURN_OTHER && crashed && place)
+		member_return(crashed, place);
+}
+
+/* Which server it befalls is known only now. */
+static void run_change(const struct event *e)
+{
+	struct groups *g = e->plan->groups;
+	struct server *lead = group_primary(g, e->index);
+	struct server *replica = member_replica(g, e->index, e->amount);
+
+	if (e->action == PROMOTE_LATE)
+		g->late_us = e->amount * MS;
+	else if (e->action == THIN_OUT)
+		thin_out(g, e->index);
+	else if (e->action >= JOIN)
+		run_return(e);
+	else if (e->action >= REPLICA_CRASH && replica)
+		run_member(e, replica);
+	else if (e->action <= LEAD_LAPSE && lead)
+		run_member(e, lead);
+}
+
 static void run_proxy(const struct event *e)
 {
 	static const int signals[] = {
@@ -336,6 +564,8 @@
 		store_set_fault(p->store, STORE_GOOD);
 	else if (e->action == FORGET)
 		store_forget_history(p->store);
+	else if (e->action >= LEAD_CRASH)
+		run_change(e);
 	else if (e->action >= CRASH)
 		run_server(e);
 	else
--- a/tests/soak/plan.h
+++ b/tests/soak/plan.h
@@ -8,7 +8,7 @@
 struct plan;
 
 struct plan *plan_create(uint32_t seed, unsigned n_proxies, unsigned n_servers,
-			 uint64_t length_us, unsigned gap_ms);
+			 uint64_t length_us, unsigned gap_ms, bool stay);
 /* One line for each, "2.350 s: kill proxy-1". */
 char *plan_text(const struct plan *p);
 /* Lets all happen, from now on. */
--- a/tests/soak/server.c
+++ b/tests/soak/server.c
@@ -1,6 +1,7 @@
 #include "server.h"
 
 #include "line.h"
+#include "member.h"
 #include "wire.h"
 
 #include <string.h>
@@ -168,7 +169,7 @@
 	} else if (str_eq(word, STR("STEPDOWN"))) {
 		if (s->role == ROLE_PRIMARY && term > s->term) {
 			s->role = ROLE_REPLICA;
-			group_list_server(s);
+			member_list(s);
 		}
 	} else if (!str_eq(word, STR("STATUS"))) {
 		return false;
--- a/tests/soak/store.c
+++ b/tests/soak/store.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #define SLOW_US (400 * MS)
+#define LOST_US (5 * SEC) /* callers wait less for what never comes */
 #define TICK_MS 10
 #define LOSE_ONE_IN 3
 #define HISTORY 4000 /* events; more than a run has */
@@ -458,8 +459,9 @@
 			g_queue_delete_link(&s->held, l);
 			if (!c->watches && !c->has_run)
 				run_call(c);
-			finish(c, s->fault == STORE_LOSES &&
-					  ++s->n_calls % LOSE_ONE_IN == 0);
+			finish(c,
+			       !c->status || (s->fault == STORE_LOSES &&
+					      ++s->n_calls % LOSE_ONE_IN == 0));
 		}
 		l = next;
 	}
@@ -496,8 +498,11 @@
 		begin_watch(c, now_us);
 	} else if (s->fault == STORE_GOOD) {
 		run_call(c);
-		finish(c, false);
-		return true;
+		if (c->status) {
+			finish(c, false);
+			return true;
+		}
+		c->due_us = now_us + LOST_US;
 	}
 	g_queue_push_tail(&s->held, c);
 	return true;
--- a/tests/soak/store.h
+++ b/tests/soak/store.h
@@ -22,7 +22,7 @@
 
 struct store;
 
-/* The HTTP status of a promotion. */
+/* The HTTP status of a promotion, 0: its answer is lost. */
 typedef unsigned (*store_promote_fn)(void *ctx, const char *service,
 				     const char *id, const char *holder,
 				     uint64_t token);
