soak: a stop that is told again spares a process that was started since

The process had been told to stop, ended and was started anew in the 0.4 s until the second SIGTERM of the same stop, which reached the new one before it had a handler.

Ruled out: an end by itself; the log of the process is empty, those of the processes before and after it are whole. The check stays as it is.

--- a/tests/soak/plan.c
+++ b/tests/soak/plan.c
@@ -543,6 +543,9 @@
 	struct fleet *f = e->plan->fleet;
 	unsigned i;
 
+	/* One that has ended meanwhile may be back, too young to be told. */
+	if (e->action == TERM_AGAIN && !f->proxies[e->index].stopped_us)
+		return;
 	if (e->action != KILL_ALL)
 		fleet_signal(&f->proxies[e->index], signals[e->action]);
 	for (i = 0; e->action == KILL_ALL && i < f->n; i++)
