relay: a claim in the middle of a change waits for others like the first

What callers saw: nothing; the platform was told to promote with an older token after a newer one. A change took longer than its claim keeps others away (3 s), another proxy claimed the duty and told the platform, and the first claimed it back at once for its second fence, so that both went on.

Change: it gives up when another has claimed within claim_hold_ms.

--- a/packages/relay/src/change.c
+++ b/packages/relay/src/change.c
@@ -251,6 +251,21 @@
 	rdt_claim(r, now_us);
 }
 
+/*
+ * Failure: a change takes longer than its claim keeps others away, another
+ * proxy claims the duty, and this one claims it back at once. The other goes on
+ * with a claim that it takes for fresh, and the platform is told with the older
+ * token after the newer one. Guard: a claim in the middle of a change waits for
+ * others like the first one.
+ */
+static void claim_again(struct rservice *v, uint64_t now_us)
+{
+	if (rdt_is_others(v->relay, now_us))
+		give_up(v, "another has the duty", now_us);
+	else
+		start_claim(v, now_us);
+}
+
 static void watch(struct rservice *v, uint64_t now_us)
 {
 	const char *why = trouble(v, now_us);
@@ -400,7 +415,7 @@
 	v->fenced_us = now_us;
 	rld_ask(v);
 	if (v->relay->guards.claim_after_fence)
-		start_claim(v, now_us);
+		claim_again(v, now_us);
 	else
 		enter(v, PHASE_HOLD, now_us);
 }
@@ -579,7 +594,7 @@
 	    !knows_all_servers(v)) {
 		/* The claim of another service's change was under way. */
 		if (v->relay->claimed_us < v->fenced_us)
-			start_claim(v, now_us);
+			claim_again(v, now_us);
 		else if (now_us > v->phase_us + FENCE_LIMIT_US)
 			give_up(v, "the list of servers is too old", now_us);
 		return;
@@ -587,7 +602,7 @@
 	if (rdt_is_fresh(v->relay, now_us))
 		promote(v, now_us);
 	else
-		start_claim(v, now_us);
+		claim_again(v, now_us);
 }
 
 static void settle(struct rservice *v, uint64_t now_us)
