--- a/packages/relay/src/change.c
+++ b/packages/relay/src/change.c
@@ -26,6 +26,8 @@
 #define ELSEWHERE_LIMIT_US (8 * USEC_PER_SEC)
 #define CLAIM_LIMIT_US USEC_PER_SEC
 #define FENCE_LIMIT_US (2500 * USEC_PER_MSEC)
+/* Of the 5 s for which rsv_leads_on() sends it work. */
+#define LEAVING_WAITS_US (4 * USEC_PER_SEC)
 #define CATCH_UP_LIMIT_US (2 * USEC_PER_SEC)
 #define PROMOTE_LIMIT_US (1500 * USEC_PER_MSEC)
 #define SETTLE_LIMIT_US (3 * USEC_PER_SEC)
@@ -34,7 +36,9 @@
 /* Whether this proxy is replacing the service's primary. */
 bool rch_is_running(const struct rservice *v)
 {
-	return v->phase > PHASE_CLAIM;
+	if (v->phase == PHASE_CLAIM) /* the second of a change */
+		return v->fenced_us || v->stepped_down;
+	return v->phase != PHASE_WATCH;
 }
 
 /* Whether a promotion that this proxy asked for may take effect yet. */
@@ -151,6 +155,27 @@
 	return v->alive_elsewhere;
 }
 
+/*
+ * Failure: a primary steps down as planned while a replica is silent, and
+ * nobody leads until that one has left the list and is given up. Guard: as long
+ * as the primary serves on while it leaves, the replica is waited for.
+ */
+static bool may_step_down(const struct rservice *v, uint64_t now_us)
+{
+	unsigned i;
+
+	if (now_us > v->primary->leaving_us + LEAVING_WAITS_US)
+		return true;
+	for (i = 0; i < v->servers->len; i++) {
+		const struct rserver *s = rservice_server(v, i);
+
+		if (s != v->primary && !s->moved && !s->refused &&
+		    !rsv_is_up(s))
+			return false;
+	}
+	return true;
+}
+
 static const char *primary_trouble(struct rservice *v, uint64_t now_us)
 {
 	const struct relay_settings *set = &v->relay->settings;
@@ -159,7 +184,7 @@
 	bool elsewhere;
 
 	if (p->info.leaving)
-		return "leaving";
+		return may_step_down(v, now_us) ? "leaving" : NULL;
 	if (p->moved || (!p->listed &&
 			 now_us > p->unlisted_us + set->gone_after_us * 2 / 3))
 		return "gone";
@@ -272,6 +297,7 @@
 	v->tries = 0;
 	v->fence_term = fence_term(v);
 	v->fenced_us = 0;
+	v->told_before = rch_is_told(v, now_us);
 	enter(v, PHASE_FENCE, now_us);
 }
 
@@ -294,11 +320,23 @@
 	return s != v->old && !s->moved && (s->listed || rsv_is_up(s));
 }
 
+/*
+ * Whether the server's process is gone, beside an old primary that stepped
+ * down. It is not waited for: who comes back there is in doubt everywhere, and
+ * it takes both to start anew to be relied on.
+ */
+static bool is_gone_beside(const struct rservice *v, const struct rserver *s)
+{
+	return v->stepped_down && s != v->old && (s->refused || s->moved);
+}
+
 /* After the platform was told, the target is the primary at any moment. */
 static bool must_be_paused(const struct rservice *v, const struct rserver *s)
 {
 	if (s == v->target && v->phase >= PHASE_PROMOTE)
 		return false;
+	if (is_gone_beside(v, s))
+		return false;
 	return may_confirm(v, s) && !is_paused(v, s);
 }
 
@@ -345,9 +383,12 @@
 {
 	unsigned i, n_paused = 0;
 
-	for (i = 0; i < v->servers->len; i++)
-		if (is_paused(v, rservice_server(v, i)))
+	for (i = 0; i < v->servers->len; i++) {
+		const struct rserver *s = rservice_server(v, i);
+
+		if (is_paused(v, s) || is_gone_beside(v, s))
 			n_paused++;
+	}
 	return v->servers->len <= n_paused + 1;
 }
 
@@ -435,12 +476,14 @@
 	 * the new primary stores. Or it starts anew, has forgotten the
 	 * step-down, and is confirmed by replicas: what it stores is gone.
 	 * Guard: replicas are paused too, and the leases run out before the
-	 * promotion can take effect.
+	 * promotion can take effect. Another proxy may reach the replica that
+	 * this one can't.
 	 */
-	if (v->relay->guards.doubt_reborn && !pause_others(v, now_us) &&
-	    now_us < v->phase_us + CATCH_UP_LIMIT_US)
-		return;
-	fenced(v, now_us);
+	if (!v->relay->guards.doubt_reborn ||
+	    (pause_others(v, now_us) && no_two_are_left(v)))
+		fenced(v, now_us);
+	else if (now_us > v->phase_us + CATCH_UP_LIMIT_US)
+		give_up(v, "a replica could not be paused", now_us);
 }
 
 static void promote(struct rservice *v, uint64_t now_us)
@@ -458,7 +501,7 @@
 		return;
 	}
 	v->target = best;
-	v->told_us = r->duty_used_us = now_us;
+	v->told_us = now_us;
 	counter_add(r->n_promotions, 1);
 	enter(v, PHASE_PROMOTE, now_us);
 	r->ops->promote(r->ctx, v->name, v->target->info.id, r->token);
@@ -496,6 +539,7 @@
 	/* A server that came after the pauses is paused like the others. */
 	if (v->fenced_us && v->relay->guards.claim_after_fence &&
 	    any_unpaused(v)) {
+		rmt_fence_again(v->relay);
 		fence_again(v, now_us);
 		return;
 	}
@@ -509,7 +553,10 @@
 	}
 	if (v->fenced_us && rdt_is_fresh(v->relay, now_us) &&
 	    !knows_all_servers(v)) {
-		if (now_us > v->phase_us + FENCE_LIMIT_US)
+		/* The claim of another service's change was under way. */
+		if (v->relay->claimed_us < v->fenced_us)
+			start_claim(v, now_us);
+		else if (now_us > v->phase_us + FENCE_LIMIT_US)
 			give_up(v, "the list of servers is too old", now_us);
 		return;
 	}
@@ -615,7 +662,8 @@
 /*
  * A server may have started anew and forgotten what this change told it: that
  * it stepped down, or is paused. Until the platform is told, the fence is made
- * once more; from then on the server is told again.
+ * once more; from then on the server is told again. That ends with a promotion,
+ * so the target is told, too: it may be all that confirms the old primary.
  */
 void rch_on_doubt(struct rserver *s, uint64_t now_us)
 {
@@ -629,7 +677,7 @@
 		fence_again(v, now_us);
 	else if (stepped_down)
 		rsv_order(s, RELAY_STEP_DOWN, v->fence_term);
-	else if (s != v->target)
+	else
 		rsv_order(s, RELAY_PAUSE, v->fence_term);
 }
 
@@ -662,6 +710,15 @@
 	}
 	if (v->phase != PHASE_WATCH && other_leads(v, now_us)) {
 		log_change(v, "done", v->primary->info.id, now_us);
+		/*
+		 * All tries under one fence name the same target, so no other
+		 * promotion of this proxy's is still to come. Or replicas that
+		 * were paused in a term above the new one, as by a second
+		 * fence, would stay so for seconds, and nobody could confirm
+		 * the new primary.
+		 */
+		if (v->primary == v->target && !v->told_before)
+			v->told_us = 0;
 		v->act_armed = false;
 		enter(v, PHASE_WATCH, now_us);
 	}
--- a/packages/relay/src/relay_internal.h
+++ b/packages/relay/src/relay_internal.h
@@ -120,6 +120,7 @@
 	uint64_t agreed_term;
 	uint64_t
 		confirmed_change; /* the last primary_changes it confirmed in */
+	uint64_t left_aside_change; /* the last that its word was told in */
 	uint64_t failing_us; /* since when probes fail, 0: they don't */
 	uint64_t probed_us; /* the last probe was sent then */
 	uint64_t latency_us; /* smoothed, of callers' statements */
@@ -167,6 +168,7 @@
 	uint64_t usable_us; /* a primary could be used here then */
 	uint64_t in_vain_us; /* since when statements want it in vain, or 0 */
 	GPtrArray *servers; /* struct rserver */
+	bool had_others; /* more than one at once */
 
 	struct rserver *primary; /* NULL: not known */
 	uint64_t term; /* the highest that was seen */
@@ -192,6 +194,7 @@
 	uint64_t fence_term;
 	uint64_t fenced_us;
 	uint64_t told_us; /* the platform was then, 0: never */
+	bool told_before; /* and may act yet on what an earlier fence was for */
 };
 
 enum rrun_state {
@@ -329,7 +332,7 @@
 	uint64_t duty_revision;
 	char *duty_holder;
 	uint64_t duty_changed_us;
-	uint64_t duty_used_us; /* somebody may have told the platform then */
+	uint64_t duty_used_us; /* another may have been at a change then */
 	bool claiming;
 	uint64_t claimed_us; /* start of the claim that gave the token */
 	uint64_t claim_sent_us;
@@ -540,6 +543,7 @@
 		 uint64_t now_us);
 struct log_line *rlg_server(const struct rserver *s, const char *event);
 void rlg_server_event(const struct rserver *s, const char *event);
+void rlg_left_aside(struct rserver *by, uint64_t counts_us, bool is_doubted);
 
 /* rmetrics.c */
 struct rmetrics *rmt_create(struct counter_set *set);
@@ -549,6 +553,8 @@
 void rmt_waited(const struct relay *r, uint64_t us);
 void rmt_answered(const struct rserver *s, uint64_t us);
 void rmt_store_call(const struct relay *r, uint64_t us);
+void rmt_pause(const struct relay *r);
+void rmt_fence_again(const struct relay *r);
 void rmt_set_gauges(const struct relay *r, uint64_t now_us);
 
 #endif
--- a/packages/relay/src/server.c
+++ b/packages/relay/src/server.c
@@ -96,10 +96,17 @@
 		s->broke_us = 0;
 }
 
-/* A new connection stands. */
+/*
+ * A new connection stands. Without another one nothing shows that it leads to
+ * the process that was there before, if this proxy ever had one: a home of a
+ * database may have known the server by the list alone.
+ */
 void rsv_conn_opened(struct rserver *s, uint64_t now_us)
 {
-	if (s->broke_us)
+	bool is_only_one = s->n_conns == s->n_opening &&
+			   s->relay->guards.doubt_newcomers;
+
+	if (s->broke_us || is_only_one)
 		doubt(s, now_us);
 }
 
@@ -149,6 +156,9 @@
 	info_copy(&s->info, info);
 	info_clear(&old);
 	s->listed = !info->unusable;
+	/* Others may have given it up meanwhile, and not have paused it. */
+	if (s->listed && !was_listed)
+		rld_on_listed(s, now_us);
 	if (s->listed)
 		s->unlisted_us = 0;
 	else if (was_listed)
@@ -275,6 +285,8 @@
 		step = STEP_ORDER;
 		s->order_wanted = false;
 		s->order_sent_us = now_us;
+		if (s->order == RELAY_PAUSE)
+			rmt_pause(s->relay);
 	}
 	s->probe_now = false;
 	s->probed_us = now_us;
