--- a/packages/relay/tests/support_group.h
+++ b/packages/relay/tests/support_group.h
@@ -33,6 +33,8 @@
 	uint64_t list_lag_us; /* or reaches it so late */
 	unsigned n_lists_due; /* on their way */
 	bool list_missed; /* one never came, and none since */
+	uint64_t list_revision; /* the newest one that came */
+	unsigned life; /* of its process; news for an earlier one are void */
 	uint64_t known; /* the store's revision as it was told */
 };
 
@@ -48,6 +50,7 @@
 	bool replaced; /* its process is gone for good, another has its log */
 	bool led; /* its term; it forgets a step-down when it starts anew */
 	uint64_t born_ms;
+	uint64_t born_us; /* when its process began */
 	enum server_role role;
 	uint64_t term;
 	uint64_t held;
@@ -126,8 +129,10 @@
 	GArray *commits; /* struct fake_commit; the first is unused */
 	uint64_t top_term[MAX_GROUPS];
 	unsigned n_promotions;
-	uint64_t last_token;
+	uint64_t last_token; /* that a relay sent */
 	unsigned last_holder;
+	uint64_t platform_token; /* the newest that came to the platform */
+	bool ages; /* lists say how long processes have run */
 	uint64_t revision; /* the store's: of lists and of the duty record */
 	uint64_t duty_revision;
 	char duty_holder[8];
@@ -152,6 +157,10 @@
 bool fake_chance(struct fake *f, double share);
 
 struct fake_server *fake_primary(struct fake *f, unsigned group);
+/* Those of the group that run and stay; how many. */
+unsigned fake_members(const struct fake *f, unsigned group, unsigned *out);
+/* Whether it runs and stays, and another does beside it. */
+bool fake_may_go(const struct fake *f, unsigned server);
 void fake_crash(struct fake *f, unsigned server);
 void fake_restart(struct fake *f, unsigned server);
 /* Its process ends and starts anew at once, under the id that it had. */
@@ -165,6 +174,8 @@
 void fake_cut(struct fake *f, unsigned relay, unsigned server, bool cut);
 void fake_freeze(struct fake *f, unsigned relay, uint64_t us);
 void fake_store(struct fake *f, unsigned relay, bool answers);
+/* Its process ends, and another of its name begins at once. */
+void fake_restart_relay(struct fake *f, unsigned relay);
 void fake_list(struct fake *f);
 void fake_heal(struct fake *f);
 bool fake_log_has(const struct fake *f, const struct fake_server *s,
--- a/packages/relay/tests/support_history.c
+++ b/packages/relay/tests/support_history.c
@@ -227,6 +227,27 @@
 	return h->answered ? h->code : RELAY_CODES;
 }
 
+/* Callers of their own try again until it is stored. */
+bool hist_serves(struct fake *f, uint64_t limit_us)
+{
+	uint64_t until_us = f->now_us + limit_us;
+	unsigned i;
+
+	for (i = 0; i < f->n_relays * f->n_groups; i++) {
+		struct hist_session *s = hist_open(f, i % f->n_relays,
+						   i / f->n_relays,
+						   RELAY_KIND_PRIMARY);
+
+		while (hist_run(f, s, RELAY_WRITE, "", "1") != RELAY_OK) {
+			if (!s->open || f->now_us > until_us)
+				return false;
+			fake_run(f, 100 * MS);
+		}
+		hist_close(f, s);
+	}
+	return true;
+}
+
 static bool is_promise(enum relay_code code)
 {
 	return code >= RELAY_BUSY && code <= RELAY_TOO_MANY;
@@ -311,6 +332,20 @@
 	s->open = false;
 }
 
+/* The relay's process is gone, and all its sessions with it. */
+void hist_relay_ended(struct fake *f, unsigned relay)
+{
+	unsigned i;
+
+	for (i = 0; i < f->hist->sessions->len; i++) {
+		struct hist_session *s =
+			g_ptr_array_index(f->hist->sessions, i);
+
+		if (s->relay == relay)
+			s->open = false;
+	}
+}
+
 /* The caller's statement by its id. */
 const struct hist_statement *hist_find(struct fake *f, struct str id)
 {
--- a/packages/relay/tests/support_history.h
+++ b/packages/relay/tests/support_history.h
@@ -53,6 +53,8 @@
 enum relay_code hist_run(struct fake *f, struct hist_session *s,
 			 enum relay_verb verb, const char *name,
 			 const char *text);
+/* Whether each relay stores a write of each group, in all within that time. */
+bool hist_serves(struct fake *f, uint64_t limit_us);
 /* The id of the newest statement, as its caller knows it; free it. */
 char *hist_last_id(const struct fake *f);
 unsigned hist_acknowledged(const struct fake *f);
@@ -63,6 +65,7 @@
 void hist_wrong(struct fake *f, const char *format, ...) G_GNUC_PRINTF(2, 3);
 void hist_answer(void *relay, uint64_t session, const struct relay_answer *a);
 void hist_hang_up(void *relay, uint64_t session);
+void hist_relay_ended(struct fake *f, unsigned relay);
 void hist_passed_on(struct fake *f, const struct fake_conn *c, struct str id);
 const struct hist_statement *hist_find(struct fake *f, struct str id);
 void hist_ran(struct fake *f, struct fake_conn *c,
--- a/packages/relay/tests/support_platform.c
+++ b/packages/relay/tests/support_platform.c
@@ -16,6 +16,7 @@
 
 struct call {
 	unsigned relay;
+	unsigned life; /* the relay's */
 	uint64_t number; /* expected revision, or the token */
 	uint64_t revision;
 	enum relay_claim outcome;
@@ -44,6 +45,30 @@
 	return best;
 }
 
+/* Whom a test may crash, or tell to leave. */
+unsigned fake_members(const struct fake *f, unsigned group, unsigned *out)
+{
+	unsigned i, n = 0;
+
+	for (i = 0; i < f->n_servers; i++) {
+		const struct fake_server *s = &f->servers[i];
+
+		if (s->group == group && !s->down && !s->leaving &&
+		    !s->replaced)
+			out[n++] = i;
+	}
+	return n;
+}
+
+/* A group is never left without a server. */
+bool fake_may_go(const struct fake *f, unsigned server)
+{
+	const struct fake_server *s = &f->servers[server];
+	unsigned all[MAX_SERVERS];
+
+	return !s->down && !s->leaving && fake_members(f, s->group, all) > 1;
+}
+
 /* Rolls back what the primary's log hasn't, and follows its term. */
 static void join_term(struct fake_server *s, const struct fake_server *p)
 {
@@ -162,28 +187,34 @@
 	}
 }
 
+/* Whether the process that made the call, or awaits the news, still runs. */
+static bool is_its_life(const struct fake *f, const struct call *call)
+{
+	return call->life == f->relays[call->relay].life;
+}
+
 static void told_event(struct fake *f, void *data)
 {
 	const struct call *call = data;
 
+	if (!is_its_life(f, call))
+		return;
 	relay_on_promoted(f->relays[call->relay].relay,
 			  f->servers[call->server].service, call->accepted,
 			  f->now_us);
 }
 
+/*
+ * A call that another overtook on its way has the lower token by then, and the
+ * platform refuses it.
+ */
 static void promote_event(struct fake *f, void *data)
 {
 	struct call *call = data;
 	struct fake_server *s = &f->servers[call->server];
 
-	if (call->number < f->last_token ||
-	    (call->number == f->last_token && call->relay != f->last_holder))
-		hist_wrong(f, "token %u of relay %u after %u of relay %u",
-			   (unsigned)call->number, call->relay,
-			   (unsigned)f->last_token, f->last_holder);
-	f->last_token = call->number;
-	f->last_holder = call->relay;
-	call->accepted = !s->down;
+	call->accepted = !s->down && call->number >= f->platform_token;
+	f->platform_token = MAX(f->platform_token, call->number);
 	if (f->void_promotions) {
 		f->void_promotions--;
 		return;
@@ -196,15 +227,30 @@
 			g_memdup2(call, sizeof(*call)), g_free);
 }
 
+/* No relay may send a token after another's that is not lower. */
+static void note_token(struct fake *f, const struct call *call)
+{
+	if (call->number < f->last_token ||
+	    (call->number == f->last_token && call->relay != f->last_holder))
+		hist_wrong(f, "token %u of relay %u after %u of relay %u",
+			   (unsigned)call->number, call->relay,
+			   (unsigned)f->last_token, f->last_holder);
+	f->last_token = call->number;
+	f->last_holder = call->relay;
+}
+
 static void on_promote(void *ctx, const char *service, const char *server,
 		       uint64_t token)
 {
 	struct fake_relay *r = ctx;
-	struct call call = { .relay = r->index, .number = token };
+	struct call call = { .relay = r->index,
+			     .life = r->life,
+			     .number = token };
 
 	(void)service;
 	while (strcmp(r->fake->servers[call.server].id, server))
 		call.server++;
+	note_token(r->fake, &call);
 	fake_at(r->fake, -1, 2 * MS + r->fake->promote_late_us, promote_event,
 		g_memdup2(&call, sizeof(call)), g_free);
 }
@@ -221,10 +267,10 @@
 {
 	const struct call *call = data;
 
-	if (f->relays[call->relay].deaf)
+	if (f->relays[call->relay].deaf || !is_its_life(f, call))
 		return;
 	relay_on_duty(f->relays[call->relay].relay, f->duty_revision,
-		      f->duty_holder, f->now_us);
+		      *f->duty_holder ? f->duty_holder : NULL, f->now_us);
 	tell_known(&f->relays[call->relay], call->revision);
 }
 
@@ -232,15 +278,19 @@
 {
 	struct call call = { .revision = f->duty_revision };
 
-	for (; call.relay < f->n_relays; call.relay++)
+	for (; call.relay < f->n_relays; call.relay++) {
+		call.life = f->relays[call.relay].life;
 		fake_at(f, (int)call.relay, fake_random(f, 2 * MS, 10 * MS),
 			duty_event, g_memdup2(&call, sizeof(call)), g_free);
+	}
 }
 
 static void claimed_event(struct fake *f, void *data)
 {
 	const struct call *call = data;
 
+	if (!is_its_life(f, call))
+		return;
 	relay_on_claimed(f->relays[call->relay].relay, call->outcome,
 			 call->revision, f->now_us);
 }
@@ -269,7 +319,9 @@
 {
 	struct fake_relay *r = ctx;
 	struct fake *f = r->fake;
-	struct call call = { .relay = r->index, .number = expected };
+	struct call call = { .relay = r->index,
+			     .life = r->life,
+			     .number = expected };
 	uint64_t delay_us = 2 * MS;
 
 	call.outcome = RELAY_CLAIM_UNKNOWN;
@@ -292,6 +344,7 @@
 /* A list of servers on its way to a relay. */
 struct list_news {
 	struct fake_relay *relay;
+	unsigned life;
 	uint64_t revision;
 	struct relay_server_info infos[MAX_SERVERS];
 	unsigned n;
@@ -318,10 +371,18 @@
 	const struct list_news *news = data;
 	struct fake_relay *r = news->relay;
 
+	if (news->life != r->life)
+		return;
 	r->n_lists_due--;
+	if (news->revision < r->list_revision) {
+		tell_known(r, news->revision);
+		return;
+	}
 	r->list_missed = r->list_held;
-	if (!r->list_held)
+	if (!r->list_held) {
+		r->list_revision = news->revision;
 		relay_on_servers(r->relay, news->infos, news->n, f->now_us);
+	}
 	tell_peers(f, r);
 	tell_known(r, news->revision);
 }
@@ -332,6 +393,7 @@
 	unsigned i;
 
 	news->relay = r;
+	news->life = r->life;
 	news->revision = f->revision;
 	for (i = 0; i < f->n_servers; i++) {
 		struct fake_server *s = &f->servers[i];
@@ -348,6 +410,7 @@
 			.role = s->role,
 			.slots = FAKE_SLOTS,
 			.born_ms = s->born_ms,
+			.age_us = f->ages ? f->now_us - s->born_us : 0,
 		};
 	}
 	r->n_lists_due++;
@@ -416,6 +479,7 @@
 		return;
 	s->down = false;
 	s->listed = true;
+	s->born_us = f->now_us;
 	if (s->term < f->top_term[s->group])
 		s->role = ROLE_REPLICA;
 	fake_list(f);
@@ -459,13 +523,6 @@
 	f->relays[relay].frozen_until_us = f->now_us + us;
 }
 
-/* Whether the store answers the relay; it hears of nothing else either. */
-void fake_store(struct fake *f, unsigned relay, bool answers)
-{
-	f->relays[relay].deaf = !answers;
-	relay_on_store(f->relays[relay].relay, answers, f->now_us);
-}
-
 /* All faults end. */
 void fake_heal(struct fake *f)
 {
@@ -526,8 +583,7 @@
 	return c;
 }
 
-static void create_relay(struct fake *f, unsigned index,
-			 struct relay_catalog *catalog)
+static void start_relay(struct fake_relay *r, struct relay_catalog *catalog)
 {
 	static const struct relay_ops ops = { .answer = fake_answer,
 					      .hang_up = fake_hang_up,
@@ -536,12 +592,9 @@
 					      .close = fake_close,
 					      .claim = on_claim,
 					      .promote = on_promote };
-	struct fake_relay *r = &f->relays[index];
+	struct fake *f = r->fake;
 	struct relay_settings settings;
 
-	r->fake = f;
-	r->index = index;
-	g_snprintf(r->name, sizeof(r->name), "relay%u", index);
 	r->counters = counter_set_create();
 	relay_settings_default(&settings);
 	settings.name = r->name;
@@ -549,10 +602,90 @@
 	r->relay = relay_create(&settings, &ops, r, r->counters, f->rng,
 				f->now_us);
 	relay_on_catalog(r->relay, catalog, f->now_us);
+}
+
+static void create_relay(struct fake *f, unsigned index,
+			 struct relay_catalog *catalog)
+{
+	struct fake_relay *r = &f->relays[index];
+
+	r->fake = f;
+	r->index = index;
+	g_snprintf(r->name, sizeof(r->name), "relay%u", index);
+	start_relay(r, catalog);
 	relay_on_duty(r->relay, 0, NULL, f->now_us);
 	fake_at(f, (int)index, MS, tick_event, r, NULL);
 }
 
+/* The store tells it all, as when a watch begins. */
+static void tell_all(struct fake *f, struct fake_relay *r)
+{
+	struct call call = { .relay = r->index,
+			     .life = r->life,
+			     .revision = f->duty_revision };
+
+	send_list(f, r);
+	fake_at(f, (int)r->index, 3 * MS, duty_event,
+		g_memdup2(&call, sizeof(call)), g_free);
+}
+
+/* Whether the store answers the relay; it hears of nothing else either. */
+void fake_store(struct fake *f, unsigned relay, bool answers)
+{
+	bool is_back = answers && f->relays[relay].deaf;
+
+	f->relays[relay].deaf = !answers;
+	relay_on_store(f->relays[relay].relay, answers, f->now_us);
+	if (is_back)
+		tell_all(f, &f->relays[relay]);
+}
+
+/* Its callers' sessions end, and its connections once all has arrived. */
+static void end_relay(struct fake *f, struct fake_relay *r)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, f->conns);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct fake_conn *c = value;
+
+		if (c->relay == r->index)
+			fake_close(r, c->id);
+		else if (c->peer == r)
+			fake_at(f, (int)c->relay, 2 * MS, lost_event,
+				g_memdup2(&c->key, sizeof(c->key)), g_free);
+	}
+	hist_relay_ended(f, r->index);
+}
+
+/*
+ * What the process knew, claimed and was told is gone; the number of its next
+ * connection goes on, since the fake knows connections by it.
+ */
+void fake_restart_relay(struct fake *f, unsigned relay)
+{
+	struct fake_relay *r = &f->relays[relay];
+	struct relay *old = r->relay;
+	struct counter_set *counters = r->counters;
+	struct relay_catalog *catalog = create_catalog(f);
+
+	end_relay(f, r);
+	r->life++;
+	r->n_lists_due = 0;
+	r->list_missed = false;
+	r->known = r->list_revision = 0;
+	r->frozen_until_us = 0;
+	start_relay(r, catalog);
+	relay_catalog_unref(catalog);
+	*relay_guards_of(r->relay) = *relay_guards_of(old);
+	r->relay->next_conn = old->next_conn;
+	relay_destroy(old);
+	counter_set_destroy(counters);
+	if (!r->deaf)
+		tell_all(f, r);
+}
+
 static struct fake_server *add_server(struct fake *f, unsigned group,
 				      enum server_role role)
 {
@@ -567,6 +700,7 @@
 	s->role = role;
 	s->led = role == ROLE_PRIMARY;
 	s->born_ms = 1;
+	s->born_us = f->now_us;
 	s->term = 1;
 	s->lag_us = 5 * MS;
 	s->log = g_array_new(FALSE, FALSE, sizeof(unsigned));
@@ -665,6 +799,8 @@
 	for (i = 0; i < n_groups * GROUP_SIZE; i++)
 		add_server(f, i / GROUP_SIZE,
 			   i % GROUP_SIZE ? ROLE_REPLICA : ROLE_PRIMARY);
+	for (i = 0; i < f->n_servers; i++)
+		f->servers[i].born_us = 0;
 	for (i = 0; i < n_groups; i++)
 		f->top_term[i] = 1;
 	catalog = create_catalog(f);
--- /dev/null
+++ b/packages/relay/tests/test_member_days.c
@@ -0,0 +1,293 @@
+#include "support_history.h"
+
+#include <celeryquay/suite.h>
+#include <stdlib.h>
+#include <string.h>
+
+/*
+ * Days on which servers of a service come, leave and come back, and proxies
+ * start anew, in the very moments in which a primary is replaced.
+ */
+
+#define SEEDS 60
+#define RELAYS 3
+#define GROUPS 2
+#define SESSIONS 6
+#define EPISODES 5
+#define AROUND_MS 1500 /* a primary's end, within which members change */
+#define MAX_MEMBERS 5 /* that run, of a group */
+#define REST_US (10 * USEC_PER_SEC)
+#define SERVICE_LIMIT_US (15 * USEC_PER_SEC)
+
+static void next_event(struct fake *f, void *data);
+
+static struct hist_session *callers[SESSIONS];
+
+/* Each caller whose session has ended opens another. */
+static void come(struct fake *f)
+{
+	unsigned i;
+
+	for (i = 0; i < SESSIONS; i++) {
+		if (callers[i] && callers[i]->open)
+			continue;
+		callers[i] = hist_open(f, i % RELAYS,
+				       (unsigned)fake_random(f, 0, GROUPS),
+				       (enum relay_kind)fake_random(f, 0, 3));
+		callers[i]->next = next_event;
+		fake_at(f, -1, MS, next_event, callers[i], NULL);
+	}
+}
+
+/* A caller's next step: a statement alone, or a transaction's. */
+static void next_event(struct fake *f, void *data)
+{
+	struct hist_session *s = data;
+
+	if (!s->open || s->now)
+		return;
+	if (fake_chance(f, 0.01)) {
+		hist_close(f, s);
+		come(f);
+	} else if (s->state == 'E') {
+		hist_start(f, s, RELAY_ROLLBACK, "", "");
+	} else if (s->state != 'I' && !s->left) {
+		hist_start(f, s, RELAY_COMMIT, "", "");
+	} else if (s->state == 'I' && fake_chance(f, 0.2)) {
+		s->left = (unsigned)fake_random(f, 0, 4);
+		hist_start(f, s, RELAY_BEGIN, "", "");
+	} else {
+		s->left -= s->state != 'I';
+		hist_start(f, s, fake_chance(f, 0.5) ? RELAY_WRITE : RELAY_READ,
+			   "", "1");
+	}
+}
+
+static bool is_away(const struct fake *f, unsigned server)
+{
+	return f->servers[server].down && !f->servers[server].replaced;
+}
+
+static void return_event(struct fake *f, void *data)
+{
+	if (is_away(f, GPOINTER_TO_UINT(data)) && f->n_servers < MAX_SERVERS)
+		fake_return(f, GPOINTER_TO_UINT(data));
+}
+
+static void reborn_event(struct fake *f, void *data)
+{
+	if (is_away(f, GPOINTER_TO_UINT(data)))
+		fake_reborn(f, GPOINTER_TO_UINT(data), true);
+}
+
+/* It is back soon, under another id or its own, or when all is healed. */
+static void crash(struct fake *f, unsigned server)
+{
+	fake_fn back = fake_chance(f, 0.6) ? return_event : reborn_event;
+
+	fake_crash(f, server);
+	if (fake_chance(f, 0.8))
+		fake_at(f, -1, fake_random(f, 20, 2500) * MS, back,
+			GUINT_TO_POINTER(server), NULL);
+}
+
+static void hear_event(struct fake *f, void *data)
+{
+	f->relays[GPOINTER_TO_UINT(data)].list_held = false;
+	fake_store(f, GPOINTER_TO_UINT(data), true);
+}
+
+static void cut_off(struct fake *f, unsigned relay)
+{
+	fake_store(f, relay, false);
+	f->relays[relay].list_held = true;
+	if (fake_chance(f, 0.5))
+		fake_at(f, -1, fake_random(f, 200, 3000) * MS, hear_event,
+			GUINT_TO_POINTER(relay), NULL);
+}
+
+/* What can befall a platform beside a primary that is replaced. */
+static void platform_trouble(struct fake *f, unsigned relay)
+{
+	switch (fake_random(f, 0, 8)) {
+	case 0:
+		f->lose_claims = 0.5;
+		break;
+	case 1:
+		f->promote_late_us = fake_random(f, 200, 2500) * MS;
+		break;
+	case 2:
+		f->lose_words = true;
+		f->void_promotions = (unsigned)fake_random(f, 0, 3);
+		break;
+	case 3:
+		cut_off(f, relay);
+		break;
+	case 4:
+		f->relays[relay].list_held = true;
+		break;
+	case 5:
+		fake_freeze(f, relay, fake_random(f, 200, 2500) * MS);
+		break;
+	default:
+		f->relays[relay].list_lag_us = fake_random(f, 50, 2500) * MS;
+		break;
+	}
+}
+
+static void member_event(struct fake *f, void *data)
+{
+	unsigned group = GPOINTER_TO_UINT(data), all[MAX_SERVERS];
+	unsigned n = fake_members(f, group, all);
+	unsigned server = n ? all[fake_random(f, 0, n)] : 0;
+	unsigned relay = (unsigned)fake_random(f, 0, RELAYS);
+
+	switch (n ? fake_random(f, 0, 10) : 9) {
+	case 0:
+	case 1:
+		if (n < MAX_MEMBERS && f->n_servers < MAX_SERVERS &&
+		    fake_primary(f, group))
+			fake_join(f, group);
+		break;
+	case 2:
+		if (fake_may_go(f, server))
+			fake_leave(f, server, fake_random(f, 1000, 7000) * MS);
+		break;
+	case 3:
+	case 4:
+		if (fake_may_go(f, server))
+			crash(f, server);
+		break;
+	case 5:
+		fake_reborn(f, server, true);
+		break;
+	case 6:
+	case 7:
+		fake_restart_relay(f, relay);
+		break;
+	case 8:
+		fake_cut(f, relay, server, true);
+		break;
+	default:
+		platform_trouble(f, relay);
+		break;
+	}
+}
+
+/* The primary's end, as some of the proxies or all of them see it. */
+static void end_event(struct fake *f, void *data)
+{
+	struct fake_server *p = fake_primary(f, GPOINTER_TO_UINT(data));
+	unsigned n_cut = (unsigned)fake_random(f, 0, 2 * RELAYS);
+
+	if (!p || !fake_may_go(f, p->index))
+		return;
+	if (n_cut > RELAYS)
+		crash(f, p->index);
+	else if (!n_cut)
+		fake_leave(f, p->index, fake_random(f, 1500, 7000) * MS);
+	else if (fake_chance(f, 0.3))
+		p->dark = true;
+	else
+		while (n_cut)
+			fake_cut(f, --n_cut, p->index, true);
+}
+
+static void episode(struct fake *f)
+{
+	unsigned group = (unsigned)fake_random(f, 0, GROUPS);
+	unsigned i, n = (unsigned)fake_random(f, 2, 7);
+
+	fake_at(f, -1, AROUND_MS * MS, end_event, GUINT_TO_POINTER(group),
+		NULL);
+	for (i = 0; i < n; i++)
+		fake_at(f, -1, fake_random(f, 0, 2 * AROUND_MS + 1) * MS,
+			member_event, GUINT_TO_POINTER(group), NULL);
+	fake_run(f, 2 * AROUND_MS * MS + fake_random(f, 500, 4500) * MS);
+}
+
+static void heal(struct fake *f)
+{
+	unsigned i, all[MAX_SERVERS];
+
+	fake_heal(f);
+	f->void_promotions = 0;
+	for (i = 0; i < RELAYS; i++) {
+		f->relays[i].list_lag_us = 0;
+		f->relays[i].list_held = false;
+		fake_store(f, i, true);
+	}
+	for (i = 0; i < GROUPS; i++)
+		if (fake_members(f, i, all) < GROUP_SIZE &&
+		    fake_primary(f, i) && f->n_servers < MAX_SERVERS)
+			fake_join(f, i);
+	fake_list(f);
+}
+
+static void day(struct fake *f)
+{
+	unsigned i;
+
+	memset(callers, 0, sizeof(callers));
+	f->promote_us = fake_random(f, 400, 1001) * MS;
+	for (i = 0; i < EPISODES; i++) {
+		come(f);
+		f->busy = 0.01;
+		fake_run(f, fake_random(f, 500, 1500) * MS);
+		episode(f);
+		heal(f);
+		/* Some troubles begin while those before are not yet over. */
+		fake_run(f, fake_random(f, 0, 4000) * MS);
+	}
+	fake_run(f, REST_US);
+}
+
+static unsigned number_of(const char *name, unsigned none)
+{
+	const char *value = g_getenv(name);
+
+	return value ? (unsigned)strtoul(value, NULL, 10) : none;
+}
+
+/*
+ * Whole days on which servers are listed, leave and come back under another id
+ * or their own while a primary is replaced, lists and the store's answers come
+ * late, and proxies start anew in the middle of it. Whatever the order of
+ * events, no caller may be told what isn't so, and all is served again after.
+ */
+START_TEST(test_days_of_members_keep_their_promises)
+{
+	unsigned first = number_of("CQ_FIRST_SEED", 1);
+	unsigned n = number_of("CQ_SEEDS", SEEDS);
+	unsigned seed, promotions = 0, acked = 0, bad = 0;
+
+	for (seed = first; seed < first + n; seed++) {
+		struct fake *f = fake_create(seed, RELAYS, GROUPS);
+		bool is_served;
+
+		f->ages = seed % 2;
+		fake_run(f, 6 * USEC_PER_SEC);
+		day(f);
+		is_served = hist_serves(f, SERVICE_LIMIT_US);
+		if (*hist_check(f) || !is_served) {
+			bad++;
+			g_printerr("seed %u: %s%s\n", seed, hist_check(f),
+				   is_served ? "" : "not served again");
+		}
+		promotions += f->n_promotions;
+		acked += hist_acknowledged(f);
+		fake_destroy(f);
+	}
+	ck_assert_msg(!bad, "%u of %u seeds", bad, n);
+	ck_assert_uint_gt(promotions, n);
+	ck_assert_uint_gt(acked, 100 * n);
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tc = tcase_create("member-days");
+
+	tcase_add_test(tc, test_days_of_members_keep_their_promises);
+	return suite_main("member-days", tc);
+}
