relay: servers that are all in doubt confirm nothing after another's claim

Change: what held the lone target holds for any number of servers, none of which is known to this proxy from before; it ends with a newer term, and what a proxy that has just started reads of the duty doesn't count, as each start would cost 5 s. A claim is fresh only while no newer one is known.

--- a/packages/relay/src/duty.c
+++ b/packages/relay/src/duty.c
@@ -15,13 +15,14 @@
 /*
  * Failure: this proxy was suspended and another has the duty by now; a token
  * that is too low would reach the platform. A claim is used only while nobody
- * else may make one, with time to spare.
+ * else may make one, with time to spare, and none is known.
  */
 bool rdt_is_fresh(const struct relay *r, uint64_t now_us)
 {
 	return r->token &&
 	       (!r->guards.fresh_claim ||
-		now_us < r->claimed_us + r->settings.claim_hold_us / 2);
+		(r->token == r->duty_revision &&
+		 now_us < r->claimed_us + r->settings.claim_hold_us / 2));
 }
 
 /* Claims it, unless a claim is under way; rch_on_claimed() hears of it. */
--- a/packages/relay/src/lead.c
+++ b/packages/relay/src/lead.c
@@ -324,16 +324,27 @@
 	return earliest_us == NEVER_US ? 0 : earliest_us;
 }
 
-/* Whether no other server is known that a change could promote. */
-static bool is_only_candidate(const struct rserver *s, uint64_t now_us)
+/*
+ * Failure: the server that is being promoted starts again, or all who might be
+ * do, and know of no pause; together they confirm the old primary. Guard: after
+ * another proxy's claim, servers that are all in doubt confirm nothing until
+ * its promotion has taken effect or can't any more. What a proxy that has just
+ * started reads of the duty may be of long ago and does not count.
+ */
+static bool may_all_have_forgotten(const struct rservice *v, uint64_t now_us)
 {
-	const struct rservice *v = s->service;
+	const struct relay *r = v->relay;
 	unsigned i;
 
-	for (i = 0; i < v->servers->len; i++)
-		if (rservice_server(v, i) != s &&
-		    can_be_promoted(rservice_server(v, i), now_us))
+	if (now_us >= r->duty_others_us + PROMOTED_WITHIN_US ||
+	    r->duty_others_us <= v->term_us)
+		return false;
+	for (i = 0; i < v->servers->len; i++) {
+		const struct rserver *s = rservice_server(v, i);
+
+		if (can_be_promoted(s, now_us) && !is_doubted(s, now_us))
 			return false;
+	}
 	return true;
 }
 
@@ -360,20 +371,14 @@
 	       !may_be_changing(s->service, now_us);
 }
 
-/*
- * From when a lease counts that rests on a replica's word, 0: on none. Who is
- * in doubt can't confirm that nothing is to be known of itself: it may be what
- * is being promoted.
- */
+/* From when a lease counts that rests on a replica's word, 0: on none. */
 static uint64_t word_us(const struct rserver *s, uint64_t now_us)
 {
-	const struct relay *r = s->relay;
 	uint64_t agreed_us;
 
 	if (counts_alone(s, now_us))
 		return s->agreed_us;
-	if (is_doubted(s, now_us) && is_only_candidate(s, now_us) &&
-	    now_us < r->duty_used_us + PROMOTED_WITHIN_US)
+	if (may_all_have_forgotten(s->service, now_us))
 		return 0;
 	agreed_us = all_agreed_us(s->service, now_us);
 	return agreed_us > s->doubted_us ? agreed_us : 0;
--- a/packages/relay/src/relay.c
+++ b/packages/relay/src/relay.c
@@ -202,14 +202,18 @@
 void relay_on_duty(struct relay *r, uint64_t revision, const char *holder,
 		   uint64_t now_us)
 {
+	bool is_first = !r->duty_known;
+
 	r->duty_known = true;
 	if (revision < r->duty_revision)
 		return;
 	if (revision != r->duty_revision) {
 		r->duty_revision = revision;
 		r->duty_changed_us = now_us;
-		if (!is_own_claim(r, revision, holder))
+		if (!is_own_claim(r, revision, holder)) {
 			r->duty_used_us = now_us;
+			r->duty_others_us = is_first ? 0 : now_us;
+		}
 	}
 	g_free(r->duty_holder);
 	r->duty_holder = g_strdup(holder);
--- a/packages/relay/src/relay_internal.h
+++ b/packages/relay/src/relay_internal.h
@@ -339,6 +339,8 @@
 	char *duty_holder;
 	uint64_t duty_changed_us;
 	uint64_t duty_used_us; /* another may have been at a change then */
+	uint64_t duty_others_us; /* another claimed it then, 0: not since start
+				  */
 	bool claiming;
 	uint64_t claimed_us; /* start of the claim that gave the token */
 	uint64_t claim_sent_us;
--- a/packages/relay/tests/support_platform.c
+++ b/packages/relay/tests/support_platform.c
@@ -420,7 +420,6 @@
 			.role = s->role,
 			.slots = FAKE_SLOTS,
 			.born_ms = s->born_ms,
-			.age_us = f->ages ? f->now_us - s->born_us : 0,
 		};
 	}
 	r->n_lists_due++;
@@ -489,7 +488,6 @@
 		return;
 	s->down = false;
 	s->listed = true;
-	s->born_us = f->now_us;
 	if (s->term < f->top_term[s->group])
 		s->role = ROLE_REPLICA;
 	fake_list(f);
@@ -710,7 +708,6 @@
 	s->role = role;
 	s->led = role == ROLE_PRIMARY;
 	s->born_ms = 1;
-	s->born_us = f->now_us;
 	s->term = 1;
 	s->lag_us = 5 * MS;
 	s->log = g_array_new(FALSE, FALSE, sizeof(unsigned));
@@ -809,8 +806,6 @@
 	for (i = 0; i < n_groups * GROUP_SIZE; i++)
 		add_server(f, i / GROUP_SIZE,
 			   i % GROUP_SIZE ? ROLE_REPLICA : ROLE_PRIMARY);
-	for (i = 0; i < f->n_servers; i++)
-		f->servers[i].born_us = 0;
 	for (i = 0; i < n_groups; i++)
 		f->top_term[i] = 1;
 	catalog = create_catalog(f);
