--- a/packages/relay/src/change.c
+++ b/packages/relay/src/change.c
@@ -294,25 +294,12 @@
 	start_claim(v, now_us);
 }
 
-static uint64_t fence_term(const struct rservice *v)
-{
-	uint64_t term = v->term;
-	unsigned i;
-
-	for (i = 0; i < v->servers->len; i++) {
-		struct rserver *s = rservice_server(v, i);
-
-		term = MAX(term, MAX(s->status.term, s->status.held));
-	}
-	return term + 1;
-}
-
 static void start_fence(struct rservice *v, uint64_t now_us)
 {
 	v->stepped_down = false;
 	v->target = NULL;
 	v->tries = 0;
-	v->fence_term = fence_term(v);
+	v->fence_term = rfn_term(v);
 	v->fenced_us = 0;
 	v->told_before = rch_is_told(v, now_us);
 	enter(v, PHASE_FENCE, now_us);
@@ -323,92 +310,6 @@
 	return v->old && rsv_is_up(v->old);
 }
 
-static bool is_paused(const struct rservice *v, const struct rserver *s)
-{
-	return s->status.held >= v->fence_term;
-}
-
-/*
- * Whether another proxy may take this server's word for the old primary: also
- * one that has just left the list, as long as it answers.
- */
-static bool may_confirm(const struct rservice *v, const struct rserver *s)
-{
-	return s != v->old && !s->moved && (s->listed || rsv_is_up(s));
-}
-
-/*
- * Whether the server's process is gone, beside an old primary that stepped
- * down. It is not waited for: who comes back there is in doubt everywhere, and
- * it takes both to start anew to be relied on.
- */
-static bool is_gone_beside(const struct rservice *v, const struct rserver *s)
-{
-	return v->stepped_down && s != v->old && (s->refused || s->moved);
-}
-
-/* After the platform was told, the target is the primary at any moment. */
-static bool must_be_paused(const struct rservice *v, const struct rserver *s)
-{
-	if (v->phase >= PHASE_PROMOTE && s == v->target)
-		return false;
-	if (is_gone_beside(v, s))
-		return false;
-	return may_confirm(v, s) && !is_paused(v, s);
-}
-
-static bool any_unpaused(const struct rservice *v)
-{
-	unsigned i;
-
-	for (i = 0; i < v->servers->len; i++)
-		if (must_be_paused(v, rservice_server(v, i)))
-			return true;
-	return false;
-}
-
-/* Pauses the others; true when every one that may confirm it is paused. */
-static bool pause_others(struct rservice *v, uint64_t now_us)
-{
-	bool all = true;
-	unsigned i;
-
-	for (i = 0; i < v->servers->len; i++) {
-		struct rserver *s = rservice_server(v, i);
-
-		if (!must_be_paused(v, s))
-			continue;
-		all = false;
-		/* A primary that is not relied on can't be paused. */
-		rsv_order_again(s,
-				s->status.role == ROLE_PRIMARY ?
-					RELAY_STEP_DOWN :
-					RELAY_PAUSE,
-				v->fence_term, now_us);
-	}
-	return all;
-}
-
-/*
- * Failure: the primary and a replica are down while another replica is
- * promoted alone. Both come back before that takes effect, one confirms the
- * other, and a write that they took is told as stored and gone. Guard: of the
- * servers that are known, also those that left the list a moment ago, one at
- * most may be unpaused, since it takes two to be relied on.
- */
-static bool no_two_are_left(const struct rservice *v)
-{
-	unsigned i, n_paused = 0;
-
-	for (i = 0; i < v->servers->len; i++) {
-		const struct rserver *s = rservice_server(v, i);
-
-		if (is_paused(v, s) || is_gone_beside(v, s))
-			n_paused++;
-	}
-	return v->servers->len <= n_paused + 1;
-}
-
 /* Nobody may commit at the old primary from now on, as far as is known. */
 static void fenced(struct rservice *v, uint64_t now_us)
 {
@@ -436,30 +337,12 @@
 	}
 	if (is_planned(v))
 		rsv_order_again(v->old, RELAY_STEP_DOWN, v->fence_term, now_us);
-	if (is_planned(v) || !pause_others(v, now_us) || !no_two_are_left(v))
+	if (is_planned(v) || !rfn_pause_others(v, now_us) ||
+	    !rfn_no_two_are_left(v))
 		return;
 	fenced(v, now_us);
 }
 
-/*
- * Whether each server that was paused has said so since all of them were: one
- * that fell silent may have started anew without its pause.
- */
-static bool pauses_stand(const struct rservice *v)
-{
-	unsigned i;
-
-	if (!v->fenced_us || !v->relay->guards.doubt_reborn)
-		return true;
-	for (i = 0; i < v->servers->len; i++) {
-		const struct rserver *s = rservice_server(v, i);
-
-		if (is_paused(v, s) && s->status_us < v->fenced_us)
-			return false;
-	}
-	return true;
-}
-
 static struct rserver *best_target(struct rservice *v)
 {
 	struct rserver *best = NULL;
@@ -497,7 +380,7 @@
 	 * this one can't.
 	 */
 	if (!v->relay->guards.doubt_reborn ||
-	    (pause_others(v, now_us) && no_two_are_left(v)))
+	    (rfn_pause_others(v, now_us) && rfn_no_two_are_left(v)))
 		fenced(v, now_us);
 	else if (now_us > v->phase_us + CATCH_UP_LIMIT_US)
 		give_up(v, "a replica could not be paused", now_us);
@@ -555,29 +438,13 @@
 		enter(v, PHASE_FENCE, now_us);
 }
 
-/*
- * Failure: a server that others know, and go by, is not in this proxy's list
- * yet: news of the store are gathered, or come through other proxies, or stop
- * for a while. It is not paused, and confirms the old primary while another is
- * promoted. Guard: the duty is claimed once more when all are paused, and the
- * list must be known up to that claim. Who was listed before the pauses is
- * paused, too; who is listed later is believed nowhere, see lead.c.
- */
-static bool knows_all_servers(const struct rservice *v)
-{
-	const struct relay *r = v->relay;
-
-	return !r->guards.claim_after_fence ||
-	       (r->claimed_us >= v->fenced_us && r->known_revision >= r->token);
-}
-
 static void hold(struct rservice *v, uint64_t now_us)
 {
 	const struct relay_settings *set = &v->relay->settings;
 
 	/* A server that came after the pauses is paused like the others. */
 	if (v->fenced_us && v->relay->guards.claim_after_fence &&
-	    any_unpaused(v)) {
+	    rfn_any_unpaused(v)) {
 		rmt_fence_again(v->relay);
 		fence_again(v, now_us);
 		return;
@@ -585,13 +452,13 @@
 	if (v->fenced_us && v->relay->guards.hold_before_promote &&
 	    now_us + set->promote_least_us < v->fenced_us + set->authority_us)
 		return;
-	if (!pauses_stand(v)) {
+	if (!rfn_pauses_stand(v)) {
 		if (now_us > v->phase_us + FENCE_LIMIT_US)
 			give_up(v, "a paused server is silent", now_us);
 		return;
 	}
 	if (v->fenced_us && rdt_is_fresh(v->relay, now_us) &&
-	    !knows_all_servers(v)) {
+	    !rfn_knows_all_servers(v)) {
 		/* The claim of another service's change was under way. */
 		if (v->relay->claimed_us < v->fenced_us)
 			claim_again(v, now_us);
@@ -607,7 +474,7 @@
 
 static void settle(struct rservice *v, uint64_t now_us)
 {
-	pause_others(v, now_us);
+	rfn_pause_others(v, now_us);
 	if (v->target)
 		rsv_probe_soon(v->target);
 	if (now_us > v->phase_us + SETTLE_LIMIT_US)
@@ -639,7 +506,7 @@
 		hold(v, now_us);
 		break;
 	case PHASE_PROMOTE:
-		pause_others(v, now_us);
+		rfn_pause_others(v, now_us);
 		if (now_us > v->phase_us + PROMOTE_LIMIT_US)
 			rch_on_promoted(v, false, now_us);
 		break;
--- a/packages/relay/src/lead.c
+++ b/packages/relay/src/lead.c
@@ -6,7 +6,8 @@
  * writes, and as acknowledged writes that vanish. Guard: whoever replaces a
  * primary first makes it step down, or pauses every other server with a higher
  * term and then waits until `authority_us` is over. So a primary may be relied
- * on for that long after any replica, asked then, knew of no higher term.
+ * on for that long after a replica whose word counts, see word.c, was asked
+ * and knew of no higher term.
  */
 #define LOG_MODULE "lead"
 #include "relay_internal.h"
@@ -16,22 +17,6 @@
 #define SAMPLE_EVERY_US (40 * USEC_PER_MSEC)
 #define RENEW_US (150 * USEC_PER_MSEC)
 #define WANTED_US USEC_PER_SEC
-/* What a server doesn't know of a change matters no more by then. */
-#define DOUBT_US PROMOTED_WITHIN_US
-
-/*
- * Who replaces a primary gives a server up gone_after_us after it left the
- * list. By then a lease must be over that rests on a list in which it still
- * was; and a second more, for a list that trails.
- */
-#define LIST_LATE_US USEC_PER_SEC
-
-static uint64_t within_us(const struct relay *r)
-{
-	return r->settings.gone_after_us - r->settings.authority_us -
-	       LIST_LATE_US;
-}
-
 /* Whether another server is known that could take the primary's place. */
 static bool has_others(const struct rservice *v)
 {
@@ -43,18 +28,6 @@
 	return false;
 }
 
-static bool is_doubted(const struct rserver *s, uint64_t now_us)
-{
-	return s->doubted_us && now_us < s->doubted_us + DOUBT_US;
-}
-
-/* Whether the list is as new as its use of it rests on; see within_us(). */
-static bool is_list_fresh(const struct relay *r, uint64_t at_us)
-{
-	return !r->guards.check_list_age ||
-	       at_us < r->store_heard_us + within_us(r);
-}
-
 /*
  * Failure: a list names one server of a service, an old primary, and the others
  * are there all the same: the proxy has just started, their entries lapsed in
@@ -70,9 +43,9 @@
 	const struct rserver *p = v->primary;
 	const struct relay *r = v->relay;
 
-	if (v->had_others && !is_list_fresh(r, at_us))
+	if (v->had_others && !rwd_is_list_fresh(r, at_us))
 		return true;
-	return r->guards.doubt_newcomers && is_doubted(p, at_us) &&
+	return r->guards.doubt_newcomers && rwd_is_doubted(p, at_us) &&
 	       at_us < r->duty_used_us + PROMOTED_WITHIN_US;
 }
 
@@ -170,27 +143,6 @@
 	log_event_end(l);
 }
 
-/*
- * Failure: another proxy paused all replicas and is about to promote one. A
- * server that knows nothing of that, since it is listed only now, has another
- * id now or has started anew, confirms the old primary here; what is stored
- * there is told as stored and is gone. Guard: the word of a server is in doubt
- * from the moment that this proxy sees it. The doubt ends once a replica
- * without one, asked later, is not paused: no fence was complete then, and
- * each fence takes in all that was listed before it is.
- */
-static void end_doubts(const struct rservice *v, uint64_t unpaused_us)
-{
-	unsigned i;
-
-	for (i = 0; i < v->servers->len; i++) {
-		struct rserver *s = rservice_server(v, i);
-
-		if (s->doubted_us < unpaused_us)
-			s->doubted_us = 0;
-	}
-}
-
 /* A replica was not paused at that time: the lease counts from then. */
 static void confirm(struct rserver *by, enum revidence evidence, uint64_t at_us,
 		    uint64_t now_us)
@@ -199,7 +151,7 @@
 
 	if (!v->primary || at_us <= v->confirmed_us)
 		return;
-	end_doubts(v, at_us);
+	rwd_end_doubts(v, at_us);
 	v->confirmed_us = at_us;
 	v->confirmed_by = by;
 	if (by->confirmed_change[evidence] == v->primary_changes)
@@ -272,118 +224,6 @@
 	set_primary(v, s, now_us);
 }
 
-/*
- * Failure: a partition leaves this proxy with an old primary and a replica, and
- * without the store. On the other side both have left the list, and a server
- * is promoted that was never fenced against this replica. It shows as writes
- * that are told as stored and are gone when the partition ends. Guard: a word
- * counts alone only while it is certain that no other proxy has given the
- * server up.
- */
-static bool counts_elsewhere(const struct rserver *s, uint64_t now_us)
-{
-	const struct relay *r = s->relay;
-
-	if (!r->guards.check_list_age)
-		return true;
-	return (s->listed || now_us < s->unlisted_us + within_us(r)) &&
-	       is_list_fresh(r, now_us);
-}
-
-/*
- * One whose address another has isn't promoted. By a list that is fresh, nor is
- * one that is told to leave, or whose process is gone; without it, a partition
- * may stand between, and who leaves may be all that is known of the other side.
- */
-static bool can_be_promoted(const struct rserver *s, uint64_t now_us)
-{
-	if (s == s->service->primary || s->moved)
-		return false;
-	return !is_list_fresh(s->relay, now_us) ||
-	       (!s->info.leaving && !s->refused);
-}
-
-/*
- * When all that a change could promote last knew of none: the earliest of their
- * words, 0 when one of them doesn't say so.
- */
-static uint64_t all_agreed_us(const struct rservice *v, uint64_t now_us)
-{
-	uint64_t earliest_us = NEVER_US;
-	unsigned i;
-
-	for (i = 0; i < v->servers->len; i++) {
-		const struct rserver *s = rservice_server(v, i);
-
-		if (!can_be_promoted(s, now_us))
-			continue;
-		if (s->agreed_term != v->term)
-			return 0;
-		earliest_us = MIN(earliest_us, s->agreed_us);
-	}
-	return earliest_us == NEVER_US ? 0 : earliest_us;
-}
-
-/*
- * Failure: the server that is being promoted starts again, or all who might be
- * do, and know of no pause; together they confirm the old primary. Guard: after
- * another proxy's claim, servers that are all in doubt confirm nothing until
- * its promotion has taken effect or can't any more. What a proxy that has just
- * started reads of the duty may be of long ago and does not count.
- */
-static bool may_all_have_forgotten(const struct rservice *v, uint64_t now_us)
-{
-	const struct relay *r = v->relay;
-	unsigned i;
-
-	if (now_us >= r->duty_others_us + PROMOTED_WITHIN_US ||
-	    r->duty_others_us <= v->term_us)
-		return false;
-	for (i = 0; i < v->servers->len; i++) {
-		const struct rserver *s = rservice_server(v, i);
-
-		if (can_be_promoted(s, now_us) && !is_doubted(s, now_us))
-			return false;
-	}
-	return true;
-}
-
-/*
- * Failure: a promotion takes effect and ends the pauses of all replicas. One
- * that has not heard of the new primary yet is in the old term and not paused,
- * and confirms the old primary. Guard: while a claim of the duty is so recent
- * that its promotion may take effect, a word counts only together with that of
- * all who may be promoted: that one is paused until it leads. It is over once
- * a newer term shows that the change is.
- */
-static bool may_be_changing(const struct rservice *v, uint64_t now_us)
-{
-	const struct relay *r = v->relay;
-
-	return r->guards.doubt_unpaused && r->duty_changed_us > v->term_us &&
-	       now_us < r->duty_changed_us + PROMOTED_WITHIN_US;
-}
-
-/* Whether what the server shows of the primary needs nobody else's word. */
-static bool counts_alone(const struct rserver *s, uint64_t now_us)
-{
-	return !is_doubted(s, now_us) && counts_elsewhere(s, now_us) &&
-	       !may_be_changing(s->service, now_us);
-}
-
-/* From when a lease counts that rests on a replica's word, 0: on none. */
-static uint64_t word_us(const struct rserver *s, uint64_t now_us)
-{
-	uint64_t agreed_us;
-
-	if (counts_alone(s, now_us))
-		return s->agreed_us;
-	if (may_all_have_forgotten(s->service, now_us))
-		return 0;
-	agreed_us = all_agreed_us(s->service, now_us);
-	return agreed_us > s->doubted_us ? agreed_us : 0;
-}
-
 /*
  * The server was paused and is not any more, in the same term: a change was
  * given up, or a promotion has just taken effect.
@@ -413,8 +253,8 @@
 		return;
 	s->agreed_us = started_us;
 	s->agreed_term = v->term;
-	counts_us = word_us(s, now_us);
-	rlg_left_aside(s, counts_us, is_doubted(s, now_us));
+	counts_us = rwd_since_us(s, now_us);
+	rlg_left_aside(s, counts_us, rwd_is_doubted(s, now_us));
 	confirm(s, EVIDENCE_STATUS, counts_us, now_us);
 }
 
@@ -485,7 +325,7 @@
 		return;
 	sample = newest_covered(v, p);
 	s->lag_us = sample ? now_us - MIN(sample->us, now_us) : NEVER_US;
-	if (s->status.held <= v->term && counts_alone(s, now_us))
+	if (s->status.held <= v->term && rwd_counts_alone(s, now_us))
 		note_unpaused(s, p, now_us);
 }
 
--- a/packages/relay/src/relay_internal.h
+++ b/packages/relay/src/relay_internal.h
@@ -5,7 +5,8 @@
  * The relay's tables and the systems that run over them. Prefixes: rsv_
  * servers, rcn_ their connections, rss_ callers' sessions, rrun_ the statement
  * that a session has in flight, rpk_ which server runs it, rld_ who is
- * primary, rch_ its replacement, rdt_ the duty record, rtd_ what changes leave
+ * primary, rwd_ whose word on that counts, rch_ its replacement, rfn_ the
+ * fence of that, rdt_ the duty record, rtd_ what changes leave
  * behind, rco_
  * network partitions, rpr_ other proxies, rvi_ homes that sessions go through,
  * rol_ servers that fail in part, rcl_ limits of what is in flight at a server,
@@ -504,6 +505,13 @@
 void rcl_on_answer(struct rserver *s, uint64_t took_us, uint64_t aim_us,
 		   enum relay_code code, uint64_t now_us);
 
+/* word.c */
+bool rwd_is_doubted(const struct rserver *s, uint64_t now_us);
+bool rwd_is_list_fresh(const struct relay *r, uint64_t at_us);
+void rwd_end_doubts(const struct rservice *v, uint64_t unpaused_us);
+bool rwd_counts_alone(const struct rserver *s, uint64_t now_us);
+uint64_t rwd_since_us(const struct rserver *s, uint64_t now_us);
+
 /* lead.c */
 bool rld_holds(const struct rservice *v, uint64_t at_us);
 void rld_on_status(struct rserver *s, uint64_t started_us, uint64_t now_us);
@@ -527,6 +535,14 @@
 /* tidy.c */
 void rtd_tick(struct rservice *v, uint64_t now_us);
 
+/* fence.c */
+uint64_t rfn_term(const struct rservice *v);
+bool rfn_any_unpaused(const struct rservice *v);
+bool rfn_pause_others(struct rservice *v, uint64_t now_us);
+bool rfn_no_two_are_left(const struct rservice *v);
+bool rfn_pauses_stand(const struct rservice *v);
+bool rfn_knows_all_servers(const struct rservice *v);
+
 /* change.c */
 void rch_tick(struct rservice *v, uint64_t now_us);
 void rch_on_claimed(struct relay *r, enum relay_claim outcome, uint64_t now_us);
--- a/packages/relay/tests/support_story.c
+++ b/packages/relay/tests/support_story.c
@@ -1,6 +1,7 @@
 #include "support_story.h"
 
 #include <check.h>
+#include <string.h>
 
 #define CHANGE_LIMIT_US (20 * USEC_PER_SEC)
 #define REST_US (9 * USEC_PER_SEC)
@@ -19,16 +20,19 @@
 			   "", "1");
 }
 
-/* One at each proxy. */
+static struct hist_session *callers[STORY_RELAYS];
+
+/* At each proxy that has none. */
 void story_callers_come(struct fake *f)
 {
 	unsigned i;
 
 	for (i = 0; i < STORY_RELAYS; i++) {
-		struct hist_session *s = hist_open(f, i, 0, RELAY_KIND_PRIMARY);
-
-		s->next = next_event;
-		next_event(f, s);
+		if (callers[i] && callers[i]->open)
+			continue;
+		callers[i] = hist_open(f, i, 0, RELAY_KIND_PRIMARY);
+		callers[i]->next = next_event;
+		next_event(f, callers[i]);
 	}
 }
 
@@ -55,6 +59,7 @@
 {
 	struct fake *f = fake_create(seed, STORY_RELAYS, 1);
 
+	memset(callers, 0, sizeof(callers));
 	switch_guard_off(f);
 	f->promote_us = 300 * MS + seed % 8 * 100 * MS;
 	fake_run(f, settle_us);
@@ -75,6 +80,7 @@
 	fake_heal(f);
 	fake_list(f);
 	fake_run(f, REST_US);
+	story_callers_come(f);
 	acked = hist_acknowledged(f);
 	fake_run(f, USEC_PER_SEC);
 	wrong = g_strdup(hist_check(f));
--- a/packages/relay/tests/test_member_stories.c
+++ b/packages/relay/tests/test_member_stories.c
@@ -1,4 +1,4 @@
-#include "support_history.h"
+#include "support_story.h"
 
 #include <celeryquay/suite.h>
 #include <string.h>
@@ -8,95 +8,19 @@
  * of test_member_days.c found them.
  */
 
-#define SEEDS 60
-#define N_RELAYS 3
-#define CHANGE_LIMIT_US (20 * USEC_PER_SEC)
-#define REST_US (9 * USEC_PER_SEC)
-
-static struct hist_session *callers[N_RELAYS];
-
-static void next_event(struct fake *f, void *data)
-{
-	struct hist_session *s = data;
-
-	if (s->open && s->state != 'I')
-		hist_start(f, s, RELAY_ROLLBACK, "", "");
-	else if (s->open)
-		hist_start(f, s, fake_chance(f, 0.5) ? RELAY_WRITE : RELAY_READ,
-			   "", "1");
-}
-
-/* A caller at each proxy that has none. */
-static void come(struct fake *f)
-{
-	unsigned i;
-
-	for (i = 0; i < N_RELAYS; i++) {
-		if (callers[i] && callers[i]->open)
-			continue;
-		callers[i] = hist_open(f, i, 0, RELAY_KIND_PRIMARY);
-		callers[i]->next = next_event;
-		next_event(f, callers[i]);
-	}
-}
-
-/* Three proxies with a caller each that writes and reads all the while. */
+/* After 6 s at rest, when the proxies know all servers. */
 static struct fake *start(uint32_t seed)
 {
-	struct fake *f = fake_create(seed, N_RELAYS, 1);
-	unsigned i;
+	struct fake *f = story_start(seed, 6 * USEC_PER_SEC);
 
-	for (i = 0; i < N_RELAYS; i++)
-		callers[i] = NULL;
-	f->promote_us = 300 * MS + seed % 8 * 100 * MS;
-	fake_run(f, 6 * USEC_PER_SEC);
-	come(f);
+	story_callers_come(f);
 	fake_run(f, USEC_PER_SEC);
 	return f;
 }
 
-/* What was wrong until a while after all has healed. */
-static char *end(struct fake *f)
-{
-	unsigned acked;
-	char *wrong;
-
-	fake_heal(f);
-	fake_list(f);
-	fake_run(f, REST_US);
-	come(f);
-	acked = hist_acknowledged(f);
-	fake_run(f, USEC_PER_SEC);
-	wrong = g_strdup(hist_check(f));
-	if (!*wrong && hist_acknowledged(f) < acked + 50) {
-		g_free(wrong);
-		wrong = g_strdup("nothing is stored any more");
-	}
-	fake_destroy(f);
-	return wrong;
-}
-
-static const struct rservice *service_at(const struct fake *f, unsigned relay)
-{
-	return g_hash_table_lookup(f->relays[relay].relay->services, "group0");
-}
-
-/* The relay that replaces the primary and has come that far, or -1. */
-static int run_until(struct fake *f, enum rphase phase)
-{
-	uint64_t limit_us = f->now_us + CHANGE_LIMIT_US;
-	unsigned i;
-
-	for (; f->now_us < limit_us; fake_run(f, MS))
-		for (i = 0; i < N_RELAYS; i++)
-			if (service_at(f, i)->phase == phase)
-				return (int)i;
-	return -1;
-}
-
 static unsigned target_of(const struct fake *f, int relay)
 {
-	const struct rservice *v = service_at(f, (unsigned)relay);
+	const struct rservice *v = story_service(f, (unsigned)relay);
 	unsigned i;
 
 	for (i = 1; i < f->n_servers; i++)
@@ -122,7 +46,7 @@
 	fake_run(f, 8 * USEC_PER_SEC);
 	f->promote_us = 1000 * MS;
 	fake_crash(f, 0);
-	changer = run_until(f, PHASE_SETTLE);
+	changer = story_run_until(f, PHASE_SETTLE);
 	target = changer < 0 ? 1 : target_of(f, changer);
 	fake_run(f, fake_random(f, 0, 300) * MS);
 	if (seed % 3 == 2) {
@@ -133,7 +57,7 @@
 	fake_run(f, fake_random(f, 0, 300) * MS);
 	fake_reborn(f, 0, true);
 	fake_run(f, 4 * USEC_PER_SEC);
-	return end(f);
+	return story_end(f);
 }
 
 /*
@@ -149,7 +73,7 @@
 	f->promote_late_us = fake_random(f, 1000, 2500) * MS;
 	f->promote_us = 400 * MS;
 	fake_leave(f, 0, 5500 * MS);
-	changer = run_until(f, PHASE_CATCH_UP);
+	changer = story_run_until(f, PHASE_CATCH_UP);
 	if (changer >= 0)
 		fake_cut(f, (unsigned)changer, 1, true);
 	fake_crash(f, 2);
@@ -158,7 +82,7 @@
 	fake_run(f, fake_random(f, 1500, 3000) * MS);
 	memset(f->cut, 0, sizeof(f->cut));
 	fake_run(f, 6 * USEC_PER_SEC);
-	return end(f);
+	return story_end(f);
 }
 
 /* A proxy's process begins anew in any phase, its own change or another's. */
@@ -170,38 +94,19 @@
 	int changer;
 
 	fake_crash(f, 0);
-	changer = run_until(f, phases[seed % G_N_ELEMENTS(phases)]);
+	changer = story_run_until(f, phases[seed % G_N_ELEMENTS(phases)]);
 	fake_run(f, fake_random(f, 0, 100) * MS);
 	if (changer >= 0 && seed / 4 % 2)
 		fake_restart_relay(f, (unsigned)changer);
 	else
-		fake_restart_relay(f, ((unsigned)changer + 1) % N_RELAYS);
-	come(f);
+		fake_restart_relay(f, ((unsigned)changer + 1) % STORY_RELAYS);
+	story_callers_come(f);
 	fake_run(f, fake_random(f, 0, 100) * MS);
 	if (seed / 8 % 2)
 		fake_join(f, 0);
 	fake_return(f, 0);
 	fake_run(f, 4 * USEC_PER_SEC);
-	return end(f);
-}
-
-typedef char *(*story_fn)(uint32_t seed);
-
-static void check_promises(story_fn story)
-{
-	unsigned n_bad = 0;
-	uint32_t seed;
-
-	for (seed = 0; seed < SEEDS; seed++) {
-		char *wrong = story(seed);
-
-		if (*wrong) {
-			n_bad++;
-			g_printerr("seed %u: %s\n", seed, wrong);
-		}
-		g_free(wrong);
-	}
-	ck_assert_msg(!n_bad, "%u of %u seeds", n_bad, SEEDS);
+	return story_end(f);
 }
 
 /*
@@ -212,7 +117,7 @@
  */
 START_TEST(test_a_target_that_starts_anew)
 {
-	check_promises(target_starts_anew);
+	story_check_promises(target_starts_anew);
 }
 END_TEST
 
@@ -224,7 +129,7 @@
  */
 START_TEST(test_a_change_that_outlives_its_claim)
 {
-	check_promises(change_that_outlives_its_claim);
+	story_check_promises(change_that_outlives_its_claim);
 }
 END_TEST
 
@@ -235,7 +140,7 @@
  */
 START_TEST(test_a_proxy_that_starts_anew)
 {
-	check_promises(proxy_starts_anew);
+	story_check_promises(proxy_starts_anew);
 }
 END_TEST
 
