--- a/packages/relay/src/fence.c
+++ b/packages/relay/src/fence.c
@@ -129,7 +129,7 @@
  * for a while. It is not paused, and confirms the old primary while another is
  * promoted. Guard: the duty is claimed once more when all are paused, and the
  * list must be known up to that claim. Who was listed before the pauses is
- * paused, too; who is listed later is believed nowhere, see lead.c.
+ * paused, too; who is listed later is in doubt everywhere, see word.c.
  */
 bool rfn_knows_all_servers(const struct rservice *v)
 {
--- a/packages/relay/src/relay_internal.h
+++ b/packages/relay/src/relay_internal.h
@@ -95,7 +95,7 @@
 	bool refused; /* nothing listens there */
 	bool probe_now;
 	bool order_wanted; /* in place of the next status */
-	uint64_t held_seen; /* this pause, see change.c */
+	uint64_t held_seen; /* this pause, see tidy.c */
 	uint64_t held_seen_us; /* was first seen then */
 	uint64_t listed_us; /* was first listed then */
 	uint64_t unlisted_us; /* left the list then */
@@ -119,7 +119,7 @@
 	uint64_t status_us; /* start of the probe that gave it, 0: none */
 	uint64_t heard_us;
 	uint64_t broke_us; /* a connection broke then, 0: all is known */
-	uint64_t doubted_us; /* it may know of no pause since, 0: no; lead.c */
+	uint64_t doubted_us; /* it may know of no pause since, 0: no; word.c */
 	bool doubted_as_new; /* since it was listed, not for a restart */
 	uint64_t agreed_us; /* it knew of no term above agreed_term then */
 	uint64_t agreed_term;
--- a/packages/relay/src/server.c
+++ b/packages/relay/src/server.c
@@ -68,7 +68,7 @@
  *
  * Failure: a server starts anew under the id that it had. It knows of no
  * pause, no step-down and no higher term, and what this proxy believes of it
- * is of another process; lead.c and change.c say what callers would see.
+ * is of another process; word.c and change.c say what callers would see.
  * Guard: a connection ends with its process. So after one broke, the next that
  * opens may lead to another process, unless an older one has answered since.
  */
--- a/packages/relay/tests/support_log.c
+++ b/packages/relay/tests/support_log.c
@@ -10,6 +10,7 @@
 	return logged->now_us;
 }
 
+/* All relays log as the node "proxy", at the fake's time. */
 FILE *fake_log_open(struct fake *f)
 {
 	static const struct log_budget budget = { 100000, 100000000 };
@@ -23,6 +24,7 @@
 	return log;
 }
 
+/* Lines go nowhere from now on. */
 void fake_log_close(FILE *log)
 {
 	log_sink_open(-1, NULL);
@@ -31,6 +33,7 @@
 	fclose(log);
 }
 
+/* From its beginning, and whole. */
 void fake_log_rewind(FILE *log)
 {
 	log_sink_flush();
@@ -42,6 +45,7 @@
 	json_node_unref(node);
 }
 
+/* The lines of that event so far, as JsonNode, in their order. */
 GPtrArray *fake_log_lines(FILE *log, const char *event)
 {
 	GPtrArray *lines = g_ptr_array_new_with_free_func(node_free);
@@ -67,6 +71,7 @@
 	return lines;
 }
 
+/* By its number, from 0. */
 JsonObject *fake_log_line(const GPtrArray *lines, unsigned i)
 {
 	return json_node_get_object(g_ptr_array_index(lines, i));
--- a/packages/relay/tests/support_log.h
+++ b/packages/relay/tests/support_log.h
@@ -8,12 +8,9 @@
 #include <json-glib/json-glib.h>
 #include <stdio.h>
 
-/* All relays log as the node "proxy", at the fake's time. */
 FILE *fake_log_open(struct fake *f);
 void fake_log_close(FILE *log);
-/* From its beginning, and whole. */
 void fake_log_rewind(FILE *log);
-/* The lines of that event so far, as JsonNode, in their order. */
 GPtrArray *fake_log_lines(FILE *log, const char *event);
 JsonObject *fake_log_line(const GPtrArray *lines, unsigned i);
 
