--- a/packages/relay/src/relay_internal.h
+++ b/packages/relay/src/relay_internal.h
@@ -5,7 +5,8 @@
  * The relay's tables and the systems that run over them. Prefixes: rsv_
  * servers, rcn_ their connections, rss_ callers' sessions, rrun_ the statement
  * that a session has in flight, rpk_ which server runs it, rld_ who is
- * primary, rch_ its replacement, rdt_ the duty record, rtd_ what changes leave
+ * primary, rwd_ whose word on that counts, rch_ its replacement, rfn_ the
+ * fence of that, rdt_ the duty record, rtd_ what changes leave
  * behind, rco_
  * network partitions, rpr_ other proxies, rvi_ homes that sessions go through,
  * rol_ servers that fail in part, rcl_ limits of what is in flight at a server,
@@ -176,6 +177,7 @@
 
 	struct rserver *primary; /* NULL: not known */
 	uint64_t term; /* the highest that was seen */
+	uint64_t term_us; /* for the first time then */
 	uint64_t primary_changes; /* how often another was taken for it */
 	uint64_t confirmed_us; /* a replica knew of no higher term then */
 	struct rserver *confirmed_by; /* this one; NULL: none, or it is gone */
@@ -198,6 +200,7 @@
 	uint64_t fence_term;
 	uint64_t fenced_us;
 	uint64_t told_us; /* the platform was then, 0: never */
+	char *told_to; /* to promote this one, by its id */
 	bool told_before; /* and may act yet on what an earlier fence was for */
 };
 
@@ -292,6 +295,7 @@
 	bool limit_in_flight; /* what would queue at a server waits here */
 	bool doubt_reborn; /* what a server knew before its start is gone */
 	bool claim_after_fence; /* no server is missing in the fence */
+	bool doubt_unpaused; /* a promotion ends pauses, too */
 	bool doubt_newcomers; /* who was just listed may know of no change */
 	bool check_list_age; /* a word may count here alone */
 	bool leave_when_cut_off; /* callers go to proxies that can serve */
@@ -336,6 +340,8 @@
 	char *duty_holder;
 	uint64_t duty_changed_us;
 	uint64_t duty_used_us; /* another may have been at a change then */
+	uint64_t duty_others_us; /* another claimed it then, 0: not since start
+				  */
 	bool claiming;
 	uint64_t claimed_us; /* start of the claim that gave the token */
 	uint64_t claim_sent_us;
@@ -499,12 +505,20 @@
 void rcl_on_answer(struct rserver *s, uint64_t took_us, uint64_t aim_us,
 		   enum relay_code code, uint64_t now_us);
 
+/* word.c */
+bool rwd_is_doubted(const struct rserver *s, uint64_t now_us);
+bool rwd_is_list_fresh(const struct relay *r, uint64_t at_us);
+void rwd_end_doubts(const struct rservice *v, uint64_t unpaused_us);
+bool rwd_counts_alone(const struct rserver *s, uint64_t now_us);
+uint64_t rwd_since_us(const struct rserver *s, uint64_t now_us);
+
 /* lead.c */
 bool rld_holds(const struct rservice *v, uint64_t at_us);
 void rld_on_status(struct rserver *s, uint64_t started_us, uint64_t now_us);
 void rld_on_position(struct rserver *s, struct position p, uint64_t sent_us);
 void rld_ask(struct rservice *v);
 void rld_on_listed(struct rserver *s, uint64_t now_us);
+void rld_on_unpaused(struct rserver *s, uint64_t now_us);
 void rld_on_doubt(struct rserver *s, uint64_t now_us);
 bool rld_wants(const struct rservice *v, uint64_t now_us);
 void rld_on_applied(struct rserver *s, struct position p, uint64_t now_us);
@@ -521,6 +535,14 @@
 /* tidy.c */
 void rtd_tick(struct rservice *v, uint64_t now_us);
 
+/* fence.c */
+uint64_t rfn_term(const struct rservice *v);
+bool rfn_any_unpaused(const struct rservice *v);
+bool rfn_pause_others(struct rservice *v, uint64_t now_us);
+bool rfn_no_two_are_left(const struct rservice *v);
+bool rfn_pauses_stand(const struct rservice *v);
+bool rfn_knows_all_servers(const struct rservice *v);
+
 /* change.c */
 void rch_tick(struct rservice *v, uint64_t now_us);
 void rch_on_claimed(struct relay *r, enum relay_claim outcome, uint64_t now_us);
--- /dev/null
+++ b/packages/relay/tests/test_member_stories.c
@@ -0,0 +1,155 @@
+#include "support_story.h"
+
+#include <celeryquay/suite.h>
+#include <string.h>
+
+/*
+ * Servers and proxies that start anew while a primary is replaced, as the days
+ * of test_member_days.c found them.
+ */
+
+/* After 6 s at rest, when the proxies know all servers. */
+static struct fake *start(uint32_t seed)
+{
+	struct fake *f = story_start(seed, 6 * USEC_PER_SEC);
+
+	story_callers_come(f);
+	fake_run(f, USEC_PER_SEC);
+	return f;
+}
+
+static unsigned target_of(const struct fake *f, int relay)
+{
+	const struct rservice *v = story_service(f, (unsigned)relay);
+	unsigned i;
+
+	for (i = 1; i < f->n_servers; i++)
+		if (v->target && !strcmp(v->target->info.id, f->servers[i].id))
+			return i;
+	return 1;
+}
+
+/*
+ * The other replica is told to leave, or gone, or starts anew as well, where
+ * the changing proxy can't pause it again.
+ */
+static char *target_starts_anew(uint32_t seed)
+{
+	struct fake *f = start(seed);
+	unsigned target;
+	int changer;
+
+	if (seed % 3 == 0)
+		fake_leave(f, 2, 9 * USEC_PER_SEC);
+	if (seed % 3 == 1)
+		fake_leave(f, 2, 0);
+	fake_run(f, 8 * USEC_PER_SEC);
+	f->promote_us = 1000 * MS;
+	fake_crash(f, 0);
+	changer = story_run_until(f, PHASE_SETTLE);
+	target = changer < 0 ? 1 : target_of(f, changer);
+	fake_run(f, fake_random(f, 0, 300) * MS);
+	if (seed % 3 == 2) {
+		fake_cut(f, (unsigned)MAX(changer, 0), 3 - target, true);
+		fake_reborn(f, 3 - target, true);
+	}
+	fake_reborn(f, target, true);
+	fake_run(f, fake_random(f, 0, 300) * MS);
+	fake_reborn(f, 0, true);
+	fake_run(f, 4 * USEC_PER_SEC);
+	return story_end(f);
+}
+
+/*
+ * The changing proxy reaches the primary, not the one replica that runs, and
+ * the other starts again after two seconds; so its change goes on for longer
+ * than its claim keeps others away.
+ */
+static char *change_that_outlives_its_claim(uint32_t seed)
+{
+	struct fake *f = start(seed);
+	int changer;
+
+	f->promote_late_us = fake_random(f, 1000, 2500) * MS;
+	f->promote_us = 400 * MS;
+	fake_leave(f, 0, 5500 * MS);
+	changer = story_run_until(f, PHASE_CATCH_UP);
+	if (changer >= 0)
+		fake_cut(f, (unsigned)changer, 1, true);
+	fake_crash(f, 2);
+	fake_run(f, fake_random(f, 1700, 2000) * MS);
+	fake_reborn(f, 2, true);
+	fake_run(f, fake_random(f, 1500, 3000) * MS);
+	memset(f->cut, 0, sizeof(f->cut));
+	fake_run(f, 6 * USEC_PER_SEC);
+	return story_end(f);
+}
+
+/* A proxy's process begins anew in any phase, its own change or another's. */
+static char *proxy_starts_anew(uint32_t seed)
+{
+	static const enum rphase phases[] = { PHASE_FENCE, PHASE_HOLD,
+					      PHASE_PROMOTE, PHASE_SETTLE };
+	struct fake *f = start(seed);
+	int changer;
+
+	fake_crash(f, 0);
+	changer = story_run_until(f, phases[seed % G_N_ELEMENTS(phases)]);
+	fake_run(f, fake_random(f, 0, 100) * MS);
+	if (changer >= 0 && seed / 4 % 2)
+		fake_restart_relay(f, (unsigned)changer);
+	else
+		fake_restart_relay(f, ((unsigned)changer + 1) % STORY_RELAYS);
+	story_callers_come(f);
+	fake_run(f, fake_random(f, 0, 100) * MS);
+	if (seed / 8 % 2)
+		fake_join(f, 0);
+	fake_return(f, 0);
+	fake_run(f, 4 * USEC_PER_SEC);
+	return story_end(f);
+}
+
+/*
+ * A service has two servers left. Its primary dies, the replica is paused, and
+ * its promotion is under way when it starts again under its id, without its
+ * pause. The old primary starts again, too; the replica is the only one to be
+ * asked, so all agree, and a code that is stored there is gone a moment later.
+ */
+START_TEST(test_a_target_that_starts_anew)
+{
+	story_check_promises(target_starts_anew);
+}
+END_TEST
+
+/*
+ * A planned change takes longer than its claim keeps others away, and another
+ * proxy claims the duty and has a server promoted. The first claims it back for
+ * its second fence, at once, and both tell the platform: the older token after
+ * the newer one.
+ */
+START_TEST(test_a_change_that_outlives_its_claim)
+{
+	story_check_promises(change_that_outlives_its_claim);
+}
+END_TEST
+
+/*
+ * A proxy's process ends while a primary is replaced, by it or by another, and
+ * begins anew; servers are all new to it. The old primary comes back under
+ * another id, and is not to be relied on there either.
+ */
+START_TEST(test_a_proxy_that_starts_anew)
+{
+	story_check_promises(proxy_starts_anew);
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tc = tcase_create("member-stories");
+
+	tcase_add_test(tc, test_a_target_that_starts_anew);
+	tcase_add_test(tc, test_a_change_that_outlives_its_claim);
+	tcase_add_test(tc, test_a_proxy_that_starts_anew);
+	return suite_main("member-stories", tc);
+}
