--- a/packages/relay/src/lead.c
+++ b/packages/relay/src/lead.c
@@ -17,6 +17,7 @@
 #define SAMPLE_EVERY_US (40 * USEC_PER_MSEC)
 #define RENEW_US (150 * USEC_PER_MSEC)
 #define WANTED_US USEC_PER_SEC
+
 /* Whether another server is known that could take the primary's place. */
 static bool has_others(const struct rservice *v)
 {
