transport: tests of a store that falls silent and is back

A caller is refused by a configuration that the operators have replaced, up to 4 s after their change was acknowledged, since the proxy waits for a question that it put while the store was silent. The tests play it over sockets with the proxies' own decisions: directly, through a watcher, with a watcher that dies, a store that answers some calls or late, a first read.

The rig of the feed's tests moves to support_kv, unchanged but for the store's modes and the proxies' own decisions.

--- /dev/null
+++ b/packages/transport/tests/support_kv.c
@@ -0,0 +1,512 @@
+#include "support_kv.h"
+
+#include <celeryquay/suite.h>
+
+#include <stdio.h>
+#include <string.h>
+
+#define WAIT_MS 100
+#define TIMEOUT_US 400000
+
+struct kv_rig rig;
+
+static void row_free(gpointer data)
+{
+	struct row *r = data;
+
+	g_free(r->value);
+	g_free(r);
+}
+
+void kv_rig_put(const char *key, const char *value)
+{
+	struct row *r = g_new0(struct row, 1);
+
+	r->revision = ++rig.revision;
+	r->value = g_strdup(value);
+	g_hash_table_replace(rig.rows, g_strdup(key), r);
+}
+
+/* The codec of the test: "at cursor age" and "key revision [value]" lines. */
+
+static char *range_url(const char *base, const char *page)
+{
+	(void)page;
+	return g_strdup_printf("%s/store?after=0", base);
+}
+
+static char *watch_url(const char *base, uint64_t at, unsigned wait_ms)
+{
+	(void)wait_ms;
+	return g_strdup_printf("%s/store?after=%" G_GUINT64_FORMAT, base, at);
+}
+
+static char *feed_range_url(const char *base, uint64_t since)
+{
+	return g_strdup_printf("%s/feed?since=%" G_GUINT64_FORMAT, base, since);
+}
+
+static char *feed_watch_url(const char *base, uint64_t cursor, unsigned wait_ms)
+{
+	return g_strdup_printf("%s/feed?after=%" G_GUINT64_FORMAT "&waitMs=%u",
+			       base, cursor, wait_ms);
+}
+
+static bool read_lines(struct str body, struct kv_answer *answer,
+		       kv_item_fn take, void *ctx)
+{
+	char *text = str_dup(body);
+	char **lines = g_strsplit(text, "\n", -1);
+	int partial = 0;
+	unsigned i;
+	bool ok = sscanf(lines[0] ? lines[0] : "",
+			 "%" G_GUINT64_FORMAT " %" G_GUINT64_FORMAT
+			 " %" G_GUINT64_FORMAT " %d",
+			 &answer->at, &answer->cursor, &answer->age_us,
+			 &partial) == 4;
+
+	answer->partial = partial;
+	for (i = 1; ok && lines[i] && *lines[i]; i++) {
+		char **words = g_strsplit(lines[i], " ", 3);
+		struct kv_item item = {
+			.key = words[0],
+			.revision = g_ascii_strtoull(words[1], NULL, 10),
+		};
+
+		item.deleted = words[2] && !strcmp(words[2], "-");
+		if (words[2] && !item.deleted)
+			item.value = str_from_c(words[2]);
+		take(ctx, &item);
+		g_strfreev(words);
+	}
+	g_strfreev(lines);
+	g_free(text);
+	return ok;
+}
+
+static void write_lines(GString *out, const struct kv_answer *answer,
+			const struct kv_item *items, unsigned n)
+{
+	unsigned i;
+
+	g_string_append_printf(out,
+			       "%" G_GUINT64_FORMAT " %" G_GUINT64_FORMAT
+			       " %" G_GUINT64_FORMAT " %d\n",
+			       answer->at, answer->cursor, answer->age_us,
+			       answer->partial);
+	for (i = 0; i < n; i++) {
+		g_string_append_printf(out, "%s %" G_GUINT64_FORMAT,
+				       items[i].key, items[i].revision);
+		if (items[i].deleted)
+			g_string_append(out, " -");
+		else if (items[i].value.data)
+			g_string_append_printf(out, " %.*s",
+					       (int)items[i].value.len,
+					       items[i].value.data);
+		g_string_append_c(out, '\n');
+	}
+}
+
+const struct kv_codec kv_rig_codec = {
+	.range_url = range_url,
+	.watch_url = watch_url,
+	.feed_range_url = feed_range_url,
+	.feed_watch_url = feed_watch_url,
+	.read = read_lines,
+	.write = write_lines,
+	.too_old = 410,
+	.held_prefix = "servers/",
+};
+
+struct late {
+	struct ready_wait *wait;
+	char *answer;
+	uv_timer_t timer;
+};
+
+static void on_late_closed(uv_handle_t *timer)
+{
+	struct late *l = timer->data;
+
+	g_free(l->answer);
+	g_free(l);
+}
+
+static void on_late(uv_timer_t *timer)
+{
+	struct late *l = timer->data;
+
+	ready_on_gone(l->wait, NULL, NULL);
+	ready_answer(l->wait, 200, str_from_c(l->answer));
+	uv_close((uv_handle_t *)timer, on_late_closed);
+}
+
+static void on_late_gone(void *ctx)
+{
+	struct late *l = ctx;
+
+	uv_close((uv_handle_t *)&l->timer, on_late_closed);
+}
+
+static void answer_late(struct ready_wait *wait, const char *text)
+{
+	struct late *l = g_new0(struct late, 1);
+
+	l->wait = wait;
+	l->answer = g_strdup(text);
+	uv_timer_init(&rig.loop, &l->timer);
+	l->timer.data = l;
+	uv_timer_start(&l->timer, on_late, KV_RIG_LATE_MS, 0);
+	ready_on_gone(wait, on_late_gone, l);
+}
+
+/* What changed after a revision; all for 0. */
+static GString *rows_after(uint64_t after)
+{
+	GString *out = g_string_new(NULL);
+	GHashTableIter iter;
+	gpointer key, value;
+
+	g_string_append_printf(out, "%" G_GUINT64_FORMAT " 0 0 0\n",
+			       rig.revision);
+	g_hash_table_iter_init(&iter, rig.rows);
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		const struct row *r = value;
+
+		if (r->revision > after && (r->value || after))
+			g_string_append_printf(out,
+					       "%s %" G_GUINT64_FORMAT " %s\n",
+					       (char *)key, r->revision,
+					       r->value ? r->value : "-");
+	}
+	return out;
+}
+
+static void on_held_gone(void *wait)
+{
+	g_queue_remove(&rig.held, wait);
+}
+
+static void hold(struct ready_wait *wait)
+{
+	g_queue_push_tail(&rig.held, wait);
+	ready_on_gone(wait, on_held_gone, wait);
+}
+
+static bool is_held(const struct proxy *p)
+{
+	return p->store == KV_RIG_SILENT ||
+	       (p->store == KV_RIG_SOME && p->store_calls % 3);
+}
+
+/* A watch without news gets an empty answer at once. */
+static void ask_store(struct proxy *p, struct str query,
+		      struct ready_wait *wait)
+{
+	uint64_t after = 0;
+	GString *out;
+
+	rig.calls++;
+	p->store_calls++;
+	sscanf(query.data, "after=%" G_GUINT64_FORMAT, &after);
+	if (is_held(p)) {
+		hold(wait);
+		return;
+	}
+	if (rig.down || p->store == KV_RIG_REFUSES ||
+	    (!after && rig.fail_ranges)) {
+		rig.fail_ranges -= !rig.down && rig.fail_ranges;
+		ready_answer(wait, 503, STR(""));
+		return;
+	}
+	out = rows_after(after);
+	if (p->store == KV_RIG_LATE)
+		answer_late(wait, out->str);
+	else
+		ready_answer(wait, 200, str_from_gstring(out));
+	g_string_free(out, TRUE);
+}
+
+static void ask_store_by_watcher(void *ctx, struct str query,
+				 struct ready_wait *wait)
+{
+	(void)ctx;
+	ask_store(&rig.watcher, query, wait);
+}
+
+static void ask_store_by_follower(void *ctx, struct str query,
+				  struct ready_wait *wait)
+{
+	(void)ctx;
+	ask_store(&rig.follower, query, wait);
+}
+
+static void ask_feed(void *ctx, struct str query, struct ready_wait *wait)
+{
+	struct proxy *p = ctx;
+
+	if (p->mute)
+		g_queue_push_tail(&p->muted, wait);
+	else
+		kv_feed_ask(p->feed, query, wait);
+}
+
+static bool never_ready(void *ctx)
+{
+	(void)ctx;
+	return false;
+}
+
+static void on_set(void *ctx, const char *key, uint64_t revision,
+		   struct str value)
+{
+	struct proxy *p = ctx;
+
+	g_hash_table_replace(p->has, g_strdup(key), str_dup(value));
+	if (p->feed != rig.behind)
+		kv_feed_set(p->feed, key, revision, value);
+}
+
+static void on_gone(void *ctx, const char *key, uint64_t revision)
+{
+	struct proxy *p = ctx;
+
+	g_hash_table_remove(p->has, key);
+	if (p->feed != rig.behind)
+		kv_feed_gone(p->feed, key, revision);
+}
+
+static void on_settled(void *ctx, uint64_t at)
+{
+	struct proxy *p = ctx;
+
+	p->n_settled++;
+	if (p->feed != rig.behind)
+		kv_feed_settled(p->feed, at);
+}
+
+static uint64_t now_us(void)
+{
+	return uv_now(&rig.loop) * USEC_PER_MSEC;
+}
+
+static void on_source(void *ctx, struct kv_source *out)
+{
+	struct proxy *p = ctx;
+	struct feed_plan plan;
+
+	if (p->decides) {
+		plan = feed_source_plan(p->decides, now_us());
+		*out = (struct kv_source){ plan.proxy ? rig.watcher.url : NULL,
+					   plan.wait_ms, plan.timeout_us };
+		return;
+	}
+	*out = (struct kv_source){ p->asks_once ? NULL : p->asks, WAIT_MS,
+				   TIMEOUT_US };
+	p->asks_once = false;
+}
+
+static void on_heard(void *ctx, bool answers, uint64_t took_us)
+{
+	struct proxy *p = ctx;
+
+	(void)took_us;
+	p->n_heard++;
+	p->n_lost += !answers;
+	if (p->feed != rig.behind && answers)
+		kv_feed_heard(p->feed, 0);
+}
+
+static void on_fed(void *ctx, bool answered, uint64_t age_us)
+{
+	struct proxy *p = ctx;
+
+	p->n_fed += answered;
+	p->n_left += !answered;
+	p->age_us = age_us;
+	if (p->decides)
+		feed_source_on_answer(p->decides, "p0", answered, age_us,
+				      now_us());
+	if (!answered)
+		p->asks = NULL;
+}
+
+static void on_missing(void *ctx)
+{
+	struct proxy *p = ctx;
+
+	p->asks_once = true;
+	p->n_missing++;
+	if (p->decides)
+		feed_source_on_missing(p->decides);
+}
+
+static const struct kv_events events = {
+	.set = on_set,
+	.gone = on_gone,
+	.settled = on_settled,
+	.source = on_source,
+	.heard = on_heard,
+	.fed = on_fed,
+	.missing = on_missing,
+};
+
+static struct ready *listen_on(void *ctx, const struct ready_page *pages,
+			       unsigned n_pages, char **url)
+{
+	struct ready_settings settings = { .address = "127.0.0.1:0",
+					   .path = "/ready",
+					   .is_ready = never_ready,
+					   .pages = pages,
+					   .n_pages = n_pages,
+					   .ctx = ctx };
+	struct err err = { 0 };
+	struct ready *r = ready_create(&rig.loop, &settings, &err);
+
+	ck_assert_msg(r != NULL, "%s", err.message);
+	*url = g_strdup_printf("http://127.0.0.1:%u", ready_port(r));
+	return r;
+}
+
+/* The first proxy is the watcher; the others of the list are not played. */
+static struct feed_source *decide(const char *name, unsigned n_proxies)
+{
+	struct relay_server_info *infos =
+		g_new0(struct relay_server_info, n_proxies);
+	struct feed_source *f = feed_source_create(name, "hall-a");
+	unsigned i;
+
+	for (i = 0; i < n_proxies; i++) {
+		infos[i].id = g_strdup_printf("p%u", i);
+		infos[i].host = "127.0.0.1";
+		infos[i].zone = "hall-a";
+		infos[i].feed_port = i ? 0 : 1;
+		infos[i].mbps = i ? 10 : 200;
+	}
+	feed_source_on_proxies(f, infos, n_proxies);
+	for (i = 0; i < n_proxies; i++)
+		g_free((char *)infos[i].id);
+	g_free(infos);
+	return f;
+}
+
+static void start_proxy(struct proxy *p, const char *store, const char *asks)
+{
+	static const struct ready_page page = { "/feed", "text/plain", NULL,
+						ask_feed };
+
+	p->has = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	p->feed = kv_feed_create(&rig.loop, &kv_rig_codec);
+	p->port = listen_on(p, &page, 1, &p->url);
+	p->asks = asks;
+	p->store_url = g_strconcat(rig.url, store, NULL);
+	p->follow = kv_follow_create(&rig.loop, rig.http, p->store_url,
+				     &kv_rig_codec, &events, p);
+}
+
+static bool watcher_settled(void *ctx)
+{
+	(void)ctx;
+	return rig.watcher.n_settled > 0;
+}
+
+static void start_store(void)
+{
+	static const struct ready_page pages[] = {
+		{ "/w/store", "text/plain", NULL, ask_store_by_watcher },
+		{ "/f/store", "text/plain", NULL, ask_store_by_follower },
+	};
+	struct err err = { 0 };
+
+	memset(&rig, 0, sizeof(rig));
+	uv_loop_init(&rig.loop);
+	rig.rows = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					 row_free);
+	rig.http = http_create(&rig.loop, &err);
+	rig.port = listen_on(NULL, pages, G_N_ELEMENTS(pages), &rig.url);
+	kv_rig_put("op/config", "one");
+	kv_rig_put("servers/a", "up");
+	kv_rig_put("servers/b", "up");
+}
+
+static void start_proxies(void)
+{
+	start_proxy(&rig.watcher, "/w", NULL);
+	loop_until(&rig.loop, watcher_settled, NULL);
+	start_proxy(&rig.follower, "/f", rig.watcher.url);
+}
+
+void kv_rig_start(void)
+{
+	start_store();
+	start_proxies();
+}
+
+void kv_rig_start_fleet(unsigned n_proxies)
+{
+	start_store();
+	rig.watcher.decides = decide("p0", n_proxies);
+	rig.follower.decides = decide("p1", n_proxies);
+	start_proxies();
+}
+
+void kv_rig_store(enum kv_rig_mode mode)
+{
+	rig.watcher.store = rig.follower.store = mode;
+}
+
+static void refuse_all(GQueue *waits)
+{
+	struct ready_wait *wait;
+
+	while ((wait = g_queue_pop_head(waits))) {
+		ready_on_gone(wait, NULL, NULL);
+		ready_answer(wait, 503, STR(""));
+	}
+}
+
+static void end_proxy(struct proxy *p)
+{
+	kv_feed_destroy(p->feed);
+	refuse_all(&p->muted);
+	ready_destroy(p->port);
+	feed_source_destroy(p->decides);
+	g_hash_table_destroy(p->has);
+	g_free(p->store_url);
+	g_free(p->url);
+}
+
+void kv_rig_end(void)
+{
+	http_destroy(rig.http);
+	/* A port that ends turns the loop: no follower may call by then. */
+	kv_follow_destroy(rig.follower.follow);
+	kv_follow_destroy(rig.watcher.follow);
+	refuse_all(&rig.held);
+	end_proxy(&rig.follower);
+	end_proxy(&rig.watcher);
+	ready_destroy(rig.port);
+	loop_end(&rig.loop);
+	g_hash_table_destroy(rig.rows);
+	g_free(rig.url);
+}
+
+struct expected {
+	const char *key;
+	const char *value; /* NULL: it is gone */
+};
+
+static bool follower_has(void *ctx)
+{
+	const struct expected *e = ctx;
+
+	return !g_strcmp0(g_hash_table_lookup(rig.follower.has, e->key),
+			  e->value);
+}
+
+void kv_rig_expect(const char *key, const char *value)
+{
+	struct expected e = { key, value };
+
+	loop_until(&rig.loop, follower_has, &e);
+}
