relay: a silent store is asked again and again until it answers

Ruled out: the store's own return (the operator's writes were acknowledged), gathering of changes (0.2 s), a watcher's hop.

After one call without an answer the store is asked for what is new without waiting, every 300 to 400 ms, while the questions before may still be answered. Those that follow a watcher ask once, then go on with the watchers, who answer at once when they hear the store again, and ask the store in steps from 1 to 4 s. A change from a watcher to the store goes on from what is known instead of reading all.

Second fault, found by the test: after one failed question of its own a follower held servers that left for ever. An answer of its watcher that is current ends the outage for it as well.

--- a/packages/relay/include/celeryquay/relay/feed_source.h
+++ b/packages/relay/include/celeryquay/relay/feed_source.h
@@ -25,16 +25,23 @@
 	/* NULL: the store. Valid until the next list. */
 	const struct relay_server_info *proxy;
 	unsigned wait_ms; /* for news */
+	/* Sent once more after so long without an answer; 0: not at all. */
+	unsigned repeat_ms;
 	uint64_t timeout_us; /* of the whole call */
 };
 
-struct feed_plan feed_source_plan(struct feed_source *f, uint64_t now_us);
+/* reads_all: the call reads all rather than what changes. */
+struct feed_plan feed_source_plan(struct feed_source *f, bool reads_all,
+				  uint64_t now_us);
 /*
  * What the proxy that was asked answered: nothing (answered false), or what
- * the store had said age_us before.
+ * the store had said age_us before. True when that is current.
  */
-void feed_source_on_answer(struct feed_source *f, const char *name,
+bool feed_source_on_answer(struct feed_source *f, const char *name,
 			   bool answered, uint64_t age_us, uint64_t now_us);
+/* The store answered a call of this proxy, or did not. */
+void feed_source_on_store(struct feed_source *f, bool answered,
+			  uint64_t now_us);
 /* A value is only at the store: the next plan is for it. */
 void feed_source_on_missing(struct feed_source *f);
 /* Whether others are to ask this one. */
--- a/packages/relay/include/celeryquay/relay/relay.h
+++ b/packages/relay/include/celeryquay/relay/relay.h
@@ -117,6 +117,8 @@
 void relay_on_revision(struct relay *r, uint64_t revision);
 /* Whether the store answers; told with every answer and failure. */
 void relay_on_store(struct relay *r, bool answers, uint64_t now_us);
+/* Another proxy, which the store doesn't answer now, heard it then. */
+void relay_on_store_heard(struct relay *r, uint64_t heard_us);
 void relay_on_store_call(struct relay *r, uint64_t took_us);
 enum relay_claim { RELAY_CLAIM_DONE, RELAY_CLAIM_LOST, RELAY_CLAIM_UNKNOWN };
 /* revision: the new one when DONE, the present one when LOST. */
--- a/packages/relay/src/feed_source.c
+++ b/packages/relay/src/feed_source.c
@@ -35,30 +35,64 @@
 /* A call to a watcher. */
 #define FEED_MS 700
 #define FEED_TIMEOUT_US (1000 * USEC_PER_MSEC)
+/* One in a silence: its answer says whether the store is back. */
+#define FEED_SILENT_MS 250
 /* All of the store, which answers within 0.3 s also when it is slow. */
 #define RANGE_TIMEOUT_US (1000 * USEC_PER_MSEC)
+/*
+ * While the store gives no answers. A question waits for no news; its limit
+ * bears a slow store, and the next one doesn't wait for it to pass.
+ */
+#define QUESTION_MS 1
+#define QUESTION_TIMEOUT_US (1200 * USEC_PER_MSEC)
+/* One that reads all brings more, also over a narrow link. */
+#define QUESTION_ALL_TIMEOUT_US (3 * USEC_PER_SEC)
+#define REPEAT_LEAST_MS 300
+#define REPEAT_SPREAD_MS 100
+/* A proxy that others ask for: its own question, and until the next one. */
+#define CHECK_TIMEOUT_US (350 * USEC_PER_MSEC)
+#define STEP_LEAST_US (1 * USEC_PER_SEC)
+#define STEP_MOST_US (4 * USEC_PER_SEC)
 /*
  * What a watcher knows may be so old. With the 0.7 s that a call to it waits, a
  * watcher that was cut off is left after 2.2 s; a change has 3 s to be in
  * force.
  */
 #define AGE_MAX_US (1500 * USEC_PER_MSEC)
+/*
+ * In a silence the next one is asked after so many answers: the first one is
+ * given at once, the second one when there is news.
+ */
+#define ASKED_IN_TURN 2
 /* One that failed is not asked again for so long. */
 #define BAD_US (10 * USEC_PER_SEC)
-/* After a failure the store is asked itself, and at once. */
+/* After a watcher failed, what the store answers is good for so long. */
 #define STORE_US (1 * USEC_PER_SEC)
 
+/* Of a watcher that is not asked for a while. */
+struct fault {
+	uint64_t until_us;
+	bool answered; /* it was behind */
+};
+
 struct feed_source {
 	char *name;
 	char *zone;
 	GPtrArray *proxies; /* struct relay_server_info, without this one */
 	GPtrArray *watchers; /* borrowed; as this one prefers them */
-	GHashTable *bad_until_us; /* name -> uint64_t */
+	GHashTable *faults; /* name -> struct fault */
 	uint64_t store_until_us;
+	uint64_t question_us; /* the next own question, if it is silent */
+	uint64_t step_us; /* to the one after it */
+	unsigned n_questions;
+	unsigned n_behind; /* answers that were, of watchers in a silence */
+	uint64_t away_until_us; /* from the preferred one, after it */
 	unsigned mbps; /* its own, as it is listed */
 	bool is_shared; /* a few watch the store for the others */
 	bool is_watcher;
 	bool asks_once; /* the store, for what a proxy doesn't send */
+	bool is_silent; /* the store gave this proxy no answer */
+	bool checks; /* a watcher failed; is the store there? */
 };
 
 static void free_info(gpointer info)
@@ -75,7 +109,7 @@
 	f->zone = g_strdup(zone);
 	f->proxies = g_ptr_array_new_with_free_func(free_info);
 	f->watchers = g_ptr_array_new();
-	f->bad_until_us =
+	f->faults =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return f;
 }
@@ -87,7 +121,7 @@
 		return;
 	g_ptr_array_unref(f->watchers);
 	g_ptr_array_unref(f->proxies);
-	g_hash_table_destroy(f->bad_until_us);
+	g_hash_table_destroy(f->faults);
 	g_free(f->name);
 	g_free(f->zone);
 	g_free(f);
@@ -213,21 +247,19 @@
 static bool is_bad(const struct feed_source *f, const char *name,
 		   uint64_t now_us)
 {
-	const uint64_t *until_us = g_hash_table_lookup(f->bad_until_us, name);
+	const struct fault *fault = g_hash_table_lookup(f->faults, name);
 
-	return until_us && now_us < *until_us;
+	return fault && now_us < fault->until_us;
 }
 
 static const struct relay_server_info *pick(const struct feed_source *f,
 					    uint64_t now_us)
 {
-	unsigned i;
+	unsigned i, n = f->watchers->len, first = f->n_behind / ASKED_IN_TURN;
 
-	if (f->is_watcher || now_us < f->store_until_us)
-		return NULL;
-	for (i = 0; i < f->watchers->len; i++) {
+	for (i = 0; i < n; i++) {
 		const struct relay_server_info *p =
-			g_ptr_array_index(f->watchers, i);
+			g_ptr_array_index(f->watchers, (first + i) % n);
 
 		if (!is_bad(f, p->id, now_us))
 			return p;
@@ -235,21 +267,86 @@
 	return NULL;
 }
 
+/* Spread over the fleet, so that proxies don't ask in step. */
+static uint64_t spread(struct feed_source *f, uint64_t range)
+{
+	f->n_questions++;
+	return XXH3_64bits_withSeed(f->name, strlen(f->name), f->n_questions) %
+	       range;
+}
+
+/*
+ * Failure: a store falls silent and is back. A call that was sent meanwhile
+ * is never answered, and while it lasts the proxy goes on by an old
+ * configuration, though the store is there. It shows as refusals of what the
+ * operators allow. Guard: after one call without an answer the store is asked
+ * again and again, whatever became of the questions before.
+ */
+static struct feed_plan question(struct feed_source *f, bool reads_all)
+{
+	return (struct feed_plan){
+		.wait_ms = QUESTION_MS,
+		.repeat_ms =
+			REPEAT_LEAST_MS + (unsigned)spread(f, REPEAT_SPREAD_MS),
+		.timeout_us = reads_all ? QUESTION_ALL_TIMEOUT_US :
+					  QUESTION_TIMEOUT_US,
+	};
+}
+
+/* Of a proxy that others ask for: once, as the others wait behind it. */
+static struct feed_plan check(bool reads_all)
+{
+	return (struct feed_plan){ .wait_ms = QUESTION_MS,
+				   .timeout_us = reads_all ? RANGE_TIMEOUT_US :
+							     CHECK_TIMEOUT_US };
+}
+
+/* Rarer and rarer. */
+static struct feed_plan check_in_silence(struct feed_source *f, bool reads_all,
+					 uint64_t now_us)
+{
+	f->question_us = now_us + f->step_us / 2 + spread(f, f->step_us);
+	f->step_us = MIN(f->step_us * 2, STEP_MOST_US);
+	return check(reads_all);
+}
+
+static struct feed_plan ask_store(struct feed_source *f, bool reads_all)
+{
+	if (f->is_silent)
+		return question(f, reads_all);
+	if (reads_all)
+		return (struct feed_plan){ .timeout_us = RANGE_TIMEOUT_US };
+	if (f->is_shared)
+		return (struct feed_plan){ .wait_ms = WATCHER_MS,
+					   .timeout_us = WATCHER_TIMEOUT_US };
+	return (struct feed_plan){ .wait_ms = WATCH_MS,
+				   .timeout_us = WATCH_TIMEOUT_US };
+}
+
 /* Whom the next call asks, and how long it waits. */
-struct feed_plan feed_source_plan(struct feed_source *f, uint64_t now_us)
+struct feed_plan feed_source_plan(struct feed_source *f, bool reads_all,
+				  uint64_t now_us)
 {
-	const struct relay_server_info *proxy = pick(f, now_us);
+	const struct relay_server_info *proxy = NULL;
 
 	if (f->asks_once) {
 		f->asks_once = false;
-		return (struct feed_plan){ NULL, 0, RANGE_TIMEOUT_US };
+		return (struct feed_plan){ .timeout_us = RANGE_TIMEOUT_US };
 	}
-	if (proxy)
-		return (struct feed_plan){ proxy, FEED_MS, FEED_TIMEOUT_US };
-	if (f->is_watcher)
-		return (struct feed_plan){ NULL, WATCHER_MS,
-					   WATCHER_TIMEOUT_US };
-	return (struct feed_plan){ NULL, WATCH_MS, WATCH_TIMEOUT_US };
+	if (!f->is_silent && now_us >= f->away_until_us)
+		f->n_behind = 0;
+	if (!f->is_watcher && now_us >= f->store_until_us)
+		proxy = pick(f, now_us);
+	if (!proxy && f->checks)
+		return check(reads_all);
+	if (!proxy)
+		return ask_store(f, reads_all);
+	if (f->is_silent && now_us >= f->question_us)
+		return check_in_silence(f, reads_all, now_us);
+	return (struct feed_plan){ .proxy = proxy,
+				   .wait_ms = f->is_silent ? FEED_SILENT_MS :
+							     FEED_MS,
+				   .timeout_us = FEED_TIMEOUT_US };
 }
 
 static void log_bad(const char *name, bool answered, uint64_t age_us)
@@ -264,23 +361,85 @@
 	log_event_end(l);
 }
 
+static void leave(struct feed_source *f, const char *name, bool answered,
+		  uint64_t now_us)
+{
+	struct fault *fault = g_new0(struct fault, 1);
+
+	fault->until_us = now_us + BAD_US;
+	fault->answered = answered;
+	g_hash_table_replace(f->faults, g_strdup(name), fault);
+}
+
+static gboolean was_behind(gpointer name, gpointer value, gpointer ctx)
+{
+	const struct fault *fault = value;
+
+	(void)name;
+	(void)ctx;
+	return fault->answered;
+}
+
+/* The preferred watcher may notice later that the store is back. */
+static void end_silence(struct feed_source *f, uint64_t now_us)
+{
+	if (f->is_silent)
+		f->away_until_us = now_us + STORE_US;
+	f->is_silent = false;
+}
+
+/* Those that were left since they hear nothing are no worse than this one. */
+static void begin_silence(struct feed_source *f, uint64_t now_us)
+{
+	f->is_silent = true;
+	f->store_until_us = 0;
+	f->step_us = STEP_LEAST_US;
+	f->question_us = now_us + STEP_LEAST_US / 2 + spread(f, STEP_LEAST_US);
+	g_hash_table_foreach_remove(f->faults, was_behind, NULL);
+}
+
 /*
  * Failure: a watcher is cut off from the store, or stands still, and those
  * that ask it go on by an old configuration although they reach the store. It
  * shows as age, or as no answer. Guard: the store is asked at once, and then
- * another watcher.
+ * another watcher. Where the store is silent for this proxy, too, being behind
+ * is no fault of the watcher: the others are heard in turn.
  */
-void feed_source_on_answer(struct feed_source *f, const char *name,
+bool feed_source_on_answer(struct feed_source *f, const char *name,
 			   bool answered, uint64_t age_us, uint64_t now_us)
 {
-	uint64_t until_us = now_us + BAD_US;
+	bool is_current = answered && age_us <= AGE_MAX_US;
 
-	if (answered && age_us <= AGE_MAX_US)
-		return;
+	if (is_current) {
+		end_silence(f, now_us);
+		return true;
+	}
+	if (f->is_silent && answered) {
+		f->n_behind++;
+		return false;
+	}
 	log_bad(name, answered, age_us);
-	g_hash_table_replace(f->bad_until_us, g_strdup(name),
-			     g_memdup2(&until_us, sizeof(until_us)));
-	f->store_until_us = now_us + STORE_US;
+	leave(f, name, answered, now_us);
+	if (!f->is_silent) {
+		f->store_until_us = now_us + STORE_US;
+		f->checks = true;
+	}
+	return false;
+}
+
+/*
+ * Failure: the store is silent for a whole fleet, and each proxy that asks
+ * another leaves it and asks the store on and on: hundreds meet it when it is
+ * back. Guard: such a proxy asks once, then those who watch it, who tell at
+ * once that the store is back, and the store only in steps that grow.
+ */
+void feed_source_on_store(struct feed_source *f, bool answered, uint64_t now_us)
+{
+	f->checks = false;
+	if (answered)
+		end_silence(f, now_us);
+	else if (!f->is_silent)
+		begin_silence(f, now_us);
 }
 
 /* A value is only at the store. */
--- a/packages/relay/src/relay.c
+++ b/packages/relay/src/relay.c
@@ -240,6 +240,12 @@
 		r->store_heard_us = now_us;
 }
 
+/* What is known is as old as that; whether the store answers now is not. */
+void relay_on_store_heard(struct relay *r, uint64_t heard_us)
+{
+	r->store_heard_us = heard_us;
+}
+
 /* What is known of the store may be of later, but not of earlier. */
 void relay_on_revision(struct relay *r, uint64_t revision)
 {
--- a/packages/relay/tests/test_feed_source.c
+++ b/packages/relay/tests/test_feed_source.c
@@ -43,7 +43,7 @@
 static const struct relay_server_info *proxy_of(struct feed_source *f,
 						uint64_t now_us)
 {
-	return feed_source_plan(f, now_us).proxy;
+	return feed_source_plan(f, false, now_us).proxy;
 }
 
 START_TEST(a_small_fleet_asks_the_store)
@@ -71,7 +71,7 @@
 		n_watchers += feed_source_is_watcher(f);
 		ck_assert_int_eq(feed_source_is_watcher(f), p == NULL);
 		/* Others rely on what it hears: it may not wait for long. */
-		ck_assert_uint_le(feed_source_plan(f, 0).wait_ms, 800);
+		ck_assert_uint_le(feed_source_plan(f, false, 0).wait_ms, 800);
 		if (p) {
 			ck_assert_str_eq(p->zone, infos[i].zone);
 			ck_assert_uint_eq(p->mbps, 200);
@@ -155,6 +155,102 @@
 }
 END_TEST
 
+static bool asks_store(const struct feed_plan *plan)
+{
+	return !plan->proxy;
+}
+
+/*
+ * The store gives one call no answer. Were the next one to wait for its limit,
+ * the store's return would be noticed that much later.
+ */
+START_TEST(a_silent_store_is_asked_again_and_again)
+{
+	struct feed_source *f;
+	struct feed_plan plan;
+
+	list(8);
+	f = start(5, 8);
+	plan = feed_source_plan(f, false, 0);
+	ck_assert_uint_eq(plan.repeat_ms, 0);
+	feed_source_on_store(f, false, 0);
+	plan = feed_source_plan(f, false, 0);
+	ck_assert_uint_gt(plan.repeat_ms, 0);
+	ck_assert_uint_le(plan.repeat_ms, 400);
+	ck_assert_uint_gt(plan.timeout_us, plan.repeat_ms * MS);
+	feed_source_on_store(f, true, 0);
+	plan = feed_source_plan(f, false, 0);
+	ck_assert_uint_eq(plan.repeat_ms, 0);
+	feed_source_destroy(f);
+}
+END_TEST
+
+/* The watcher is behind, and the store is silent for this one, too. */
+static struct feed_source *start_in_silence(void)
+{
+	struct feed_source *f;
+
+	list(73);
+	f = start(5, 73);
+	feed_source_on_answer(f, "p1", true, AGE_OLD_US, 0);
+	feed_source_on_store(f, false, 0);
+	return f;
+}
+
+/*
+ * The store is silent for a fleet of 73. Each that follows a watcher left it
+ * and asked the store on and on, and the store met them all when it was back.
+ */
+START_TEST(followers_ask_a_silent_store_rarely)
+{
+	struct feed_source *f = start_in_silence();
+	unsigned n_store = 0;
+	struct feed_plan plan;
+	uint64_t ms;
+
+	for (ms = 0; ms < 20000; ms += 250) {
+		plan = feed_source_plan(f, false, ms * MS);
+		n_store += asks_store(&plan);
+		if (asks_store(&plan))
+			feed_source_on_store(f, false, ms * MS);
+		else
+			feed_source_on_answer(f, plan.proxy->id, true,
+					      AGE_OLD_US, ms * MS);
+	}
+	ck_assert_uint_ge(n_store, 4);
+	ck_assert_uint_le(n_store, 10);
+	feed_source_destroy(f);
+}
+END_TEST
+
+/*
+ * The store answers one hall's watcher again and not this hall's. Who went on
+ * with its own watcher would hear of the return with it.
+ */
+START_TEST(each_watcher_is_heard_in_a_silence)
+{
+	struct feed_source *f = start_in_silence();
+	GHashTable *asked = g_hash_table_new(g_str_hash, g_str_equal);
+	const struct relay_server_info *p = NULL;
+	unsigned i;
+
+	for (i = 0; i < 2 * ZONES; i++) {
+		p = proxy_of(f, 1);
+		ck_assert_ptr_nonnull(p);
+		g_hash_table_add(asked, p->id);
+		feed_source_on_answer(f, p->id, true, AGE_OLD_US, 1);
+	}
+	ck_assert_uint_eq(g_hash_table_size(asked), ZONES);
+	p = proxy_of(f, 1);
+	ck_assert(feed_source_on_answer(f, p->id, true, AGE_OK_US, 1));
+	/* The one near it may not have noticed yet. */
+	ck_assert_ptr_eq(proxy_of(f, 2), p);
+	ck_assert_str_eq(proxy_of(f, 2000 * MS)->id, "p1");
+	g_hash_table_destroy(asked);
+	feed_source_destroy(f);
+}
+END_TEST
+
 /* All watchers are dead at once: the store is still there. */
 START_TEST(without_a_watcher_the_store_is_asked)
 {
@@ -204,6 +300,9 @@
 	tcase_add_test(tc, a_very_large_fleet_asks_the_store);
 	tcase_add_test(tc, a_watcher_that_is_behind_is_left);
 	tcase_add_test(tc, what_is_missing_is_asked_for_once);
+	tcase_add_test(tc, a_silent_store_is_asked_again_and_again);
+	tcase_add_test(tc, followers_ask_a_silent_store_rarely);
+	tcase_add_test(tc, each_watcher_is_heard_in_a_silence);
 	tcase_add_test(tc, without_a_watcher_the_store_is_asked);
 	tcase_add_test(tc, who_has_no_feed_is_not_asked);
 	return suite_main("feed source", tc);
--- a/packages/transport/include/celeryquay/transport/kv_follow.h
+++ b/packages/transport/include/celeryquay/transport/kv_follow.h
@@ -51,6 +51,8 @@
 struct kv_source {
 	const char *base; /* "http://IP:PORT"; NULL: the store */
 	unsigned wait_ms;
+	/* It is sent once more after so long without an answer; 0: it isn't. */
+	unsigned repeat_ms;
 	uint64_t timeout_us; /* of the call, more than it waits */
 };
 
@@ -61,8 +63,11 @@
 	void (*gone)(void *ctx, const char *key, uint64_t revision);
 	/* What was told so far belongs together; at: the store's revision. */
 	void (*settled)(void *ctx, uint64_t at);
-	/* Asked before each call; base is copied. */
-	void (*source)(void *ctx, struct kv_source *out);
+	/*
+	 * Asked before each call; base is copied. reads_all: the call is to
+	 * read all where the source stays the same.
+	 */
+	void (*source)(void *ctx, bool reads_all, struct kv_source *out);
 	/*
 	 * The store answered a call, or did not. took_us: of one that doesn't
 	 * wait for news, 0 otherwise.
@@ -73,8 +78,11 @@
 	 * asked for all of it once.
 	 */
 	void (*missing)(void *ctx);
-	/* Another proxy did; age_us: since the store was heard there. */
-	void (*fed)(void *ctx, bool answered, uint64_t age_us);
+	/*
+	 * Another proxy did; age_us: since the store was heard there. Says
+	 * whether that is current.
+	 */
+	bool (*fed)(void *ctx, bool answered, uint64_t age_us);
 };
 
 struct kv_follow;
--- a/packages/transport/src/kv_feed.c
+++ b/packages/transport/src/kv_feed.c
@@ -22,6 +22,8 @@
 /* Changes that are kept; who is further behind reads all. */
 #define CHANGES_MAX 4096
 #define WAIT_MAX_MS 5000
+/* Between two answers of the store; one of a calm day comes sooner. */
+#define SILENCE_US (1500 * USEC_PER_MSEC)
 /* A cursor is this process's number above the count of changes. */
 #define EPOCH_SHIFT 32
 #define COUNT_MASK ((UINT64_C(1) << EPOCH_SHIFT) - 1)
@@ -139,14 +141,6 @@
 		add_change(f, key, revision, true);
 }
 
-/* The store was heard that long before. */
-void kv_feed_heard(struct kv_feed *f, uint64_t age_us)
-{
-	uint64_t now = now_us(f);
-
-	f->heard_us = now > age_us ? now - age_us : 0;
-}
-
 static struct kv_item item_of(const struct kv_feed *f, const char *key,
 			      uint64_t revision, bool deleted, bool with_value)
 {
@@ -290,24 +284,43 @@
 	ready_on_gone(wait, on_gone, w);
 }
 
-/* What was told so far belongs together: those that wait for news get it. */
-void kv_feed_settled(struct kv_feed *f, uint64_t at)
+/* Those that wait are answered now; all: also where there is no news. */
+static void serve_waiters(struct kv_feed *f, bool all)
 {
 	GList *l, *next;
 
-	if (!f->settled)
-		f->log_at = at;
-	f->settled = true;
-	f->at = MAX(f->at, at);
 	for (l = f->waiters.head; l; l = next) {
 		struct waiter *w = l->data;
 
 		next = l->next;
-		if (w->after != cursor(f))
+		if (all || w->after != cursor(f))
 			serve(w);
 	}
 }
 
+/*
+ * The store was heard that long before. Where it had been silent, those that
+ * wait learn at once that it is back.
+ */
+void kv_feed_heard(struct kv_feed *f, uint64_t age_us)
+{
+	uint64_t now = now_us(f), before_us = f->heard_us;
+
+	f->heard_us = now > age_us ? now - age_us : 0;
+	if (f->heard_us > before_us + SILENCE_US)
+		serve_waiters(f, true);
+}
+
+/* What was told so far belongs together: those that wait for news get it. */
+void kv_feed_settled(struct kv_feed *f, uint64_t at)
+{
+	if (!f->settled)
+		f->log_at = at;
+	f->settled = true;
+	f->at = MAX(f->at, at);
+	serve_waiters(f, false);
+}
+
 /* The number behind "name=" in a query; false when it isn't there. */
 static bool query_number(struct str query, const char *name, uint64_t *out)
 {
--- a/packages/transport/src/kv_follow.c
+++ b/packages/transport/src/kv_follow.c
@@ -8,8 +8,8 @@
 #define CONNECT_TIMEOUT_US (1000 * USEC_PER_MSEC)
 #define NSEC_PER_USEC 1000
 #define GATHER_MS 200
-#define RETRY_LEAST_MS 100
-#define RETRY_MOST_MS 500
+#define RETRY_LEAST_MS 60
+#define RETRY_MOST_MS 300
 /* Entries that lapsed in an outage are back by then, if anybody lives. */
 #define HOLD_MS 2500
 #define HTTP_OK 200
@@ -17,6 +17,14 @@
 /* A proxy's answers have been gathered already. */
 #define FEED_GATHER_MS 10
 
+/* A call that has no answer yet. */
+struct asked {
+	struct kv_follow *follow;
+	struct http_call *call;
+	uint64_t sent_ns;
+	GList link; /* in asked */
+};
+
 struct kv_follow {
 	char *base;
 	struct http *http;
@@ -25,7 +33,9 @@
 	const struct kv_events *events;
 	void *ctx;
 	uv_timer_t retry;
+	uv_timer_t repeat;
 	uv_timer_t release;
+	GQueue asked; /* the same call, sent more than once in a silence */
 	char *feed; /* the proxy that is asked; NULL: the store */
 	char *left_feed; /* the one before, to go on with */
 	uint64_t left_cursor;
@@ -36,7 +46,6 @@
 	uint64_t range_cursor;
 	char *page; /* the key before the next page; NULL: the first one */
 	char *last; /* key of the answer's last item */
-	uint64_t sent_ns;
 	unsigned delay_ms; /* before the next try; 0: all is well */
 	bool incomplete; /* a value was left out that isn't known here */
 	bool owed; /* the store's range that brings it has not come yet */
@@ -72,16 +81,19 @@
 }
 
 /* What is missing in and right after an outage may only have lapsed. */
-static void heard(struct kv_follow *f, bool works)
+static void note_store(struct kv_follow *f, bool works)
 {
 	if (works && f->failing)
 		uv_timer_start(&f->release, on_release, HOLD_MS, 0);
 	f->failing = !works;
 	if (!works)
 		f->holding = true;
-	f->events->heard(
-		f->ctx, works,
-		f->cursor ? 0 : (uv_hrtime() - f->sent_ns) / NSEC_PER_USEC);
+}
+
+static void heard(struct kv_follow *f, bool works, uint64_t took_us)
+{
+	note_store(f, works);
+	f->events->heard(f->ctx, works, f->cursor ? 0 : took_us);
 }
 
 static void on_retry(uv_timer_t *timer)
@@ -98,6 +110,24 @@
 	uv_timer_start(&f->retry, on_retry, delay, 0);
 }
 
+static void forget(struct asked *a)
+{
+	g_queue_unlink(&a->follow->asked, &a->link);
+	g_free(a);
+}
+
+/* Nothing that was asked before counts any more. */
+static void cancel_others(struct kv_follow *f)
+{
+	uv_timer_stop(&f->repeat);
+	while (f->asked.head) {
+		struct asked *a = f->asked.head->data;
+
+		http_cancel(a->call);
+		forget(a);
+	}
+}
+
 static void take_item(void *ctx, const struct kv_item *item)
 {
 	struct kv_follow *f = ctx;
@@ -155,6 +185,8 @@
 	g_clear_pointer(&f->page, g_free);
 	if (answer->more)
 		f->page = g_steal_pointer(&f->last);
+	/* What is sent twice could not be told from the next page. */
+	f->source.repeat_ms = 0;
 	if (!f->page)
 		end_range(f);
 }
@@ -171,16 +203,19 @@
 {
 	LOG_INFO("the watch from %" G_GUINT64_FORMAT " is too old", f->cursor);
 	if (!f->feed)
-		heard(f, true);
+		heard(f, true, 0);
+	f->delay_ms = 0;
 	read_again(f);
 }
 
-static void tell_works(struct kv_follow *f, const struct kv_answer *answer)
+/* Also another proxy's answer says that the store is back. */
+static void tell_works(struct kv_follow *f, const struct kv_answer *answer,
+		       uint64_t took_us)
 {
-	if (f->feed)
-		f->events->fed(f->ctx, true, answer->age_us);
-	else
-		heard(f, true);
+	if (!f->feed)
+		heard(f, true, took_us);
+	else if (f->events->fed(f->ctx, true, answer->age_us))
+		note_store(f, true);
 }
 
 static void take_news(struct kv_follow *f, const struct kv_answer *answer)
@@ -213,9 +248,10 @@
 	next_call(f);
 }
 
-static void take_answer(struct kv_follow *f, const struct kv_answer *answer)
+static void take_answer(struct kv_follow *f, const struct kv_answer *answer,
+			uint64_t took_us)
 {
-	tell_works(f, answer);
+	tell_works(f, answer, took_us);
 	f->delay_ms = 0;
 	if (f->incomplete) {
 		ask_store_once(f, answer);
@@ -232,7 +268,7 @@
 {
 	g_clear_pointer(&f->page, g_free);
 	if (!f->feed) {
-		heard(f, false);
+		heard(f, false, 0);
 		retry_later(f);
 		return;
 	}
@@ -240,20 +276,31 @@
 	uv_timer_start(&f->retry, on_retry, FEED_GATHER_MS, 0);
 }
 
+static bool read_body(struct kv_follow *f, struct str body,
+		      struct kv_answer *answer)
+{
+	if (!f->cursor && !f->page)
+		kv_table_range_begin(f->table);
+	return kv_follow_read(f, body, answer);
+}
+
 static void on_done(void *ctx, const struct err *err, bool not_sent,
 		    long status, struct str body)
 {
-	struct kv_follow *f = ctx;
+	struct asked *a = ctx;
+	struct kv_follow *f = a->follow;
+	uint64_t took_us = (uv_hrtime() - a->sent_ns) / NSEC_PER_USEC;
 	struct kv_answer answer;
 
 	(void)not_sent;
-	if (!err->code && status == HTTP_OK) {
-		if (!f->cursor && !f->page)
-			kv_table_range_begin(f->table);
-		if (kv_follow_read(f, body, &answer)) {
-			take_answer(f, &answer);
-			return;
-		}
+	forget(a);
+	/* One that was sent after it may still be answered. */
+	if (err->code && f->asked.head)
+		return;
+	cancel_others(f);
+	if (!err->code && status == HTTP_OK && read_body(f, body, &answer)) {
+		take_answer(f, &answer, took_us);
+		return;
 	}
 	if (!err->code && status == f->codec->too_old && f->cursor) {
 		start_over(f);
@@ -266,18 +313,21 @@
 
 /*
  * A cursor is of one source; another one is asked for all, unless it was left
- * a moment ago.
+ * a moment ago. The store goes on from what is known of it.
  */
 static void change_source(struct kv_follow *f, const char *base)
 {
 	if (!g_strcmp0(f->feed, base))
 		return;
+	cancel_others(f);
 	g_free(f->feed);
 	f->feed = g_strdup(base);
 	f->delay_ms = 0;
 	read_again(f);
 	if (base && !g_strcmp0(f->left_feed, base))
 		f->cursor = f->left_cursor;
+	if (!base && !f->owed)
+		f->cursor = f->known_at;
 	if (base)
 		g_clear_pointer(&f->left_feed, g_free);
 }
@@ -290,7 +340,7 @@
 	/* Until it has answered: the proxy won't tell of the value again. */
 	if (f->owed)
 		f->events->missing(f->ctx);
-	f->events->source(f->ctx, &f->source);
+	f->events->source(f->ctx, !f->cursor, &f->source);
 	change_source(f, f->source.base);
 }
 
@@ -306,23 +356,34 @@
 	return f->codec->range_url(f->base, f->page);
 }
 
-static void next_call(struct kv_follow *f)
+/* Sends what is due to whom it is due. */
+static void send_call(struct kv_follow *f)
 {
 	static const struct http_events events = { .done = on_done };
 	struct http_request request = { .method = HTTP_GET };
-	char *url;
+	struct asked *a = g_new0(struct asked, 1);
+	char *url = next_url(f, &f->source);
 
-	choose_source(f);
-	url = next_url(f, &f->source);
 	request.url = url;
 	request.timeout_us = f->source.timeout_us;
 	request.connect_timeout_us =
 		MIN(f->source.timeout_us, CONNECT_TIMEOUT_US);
-	f->sent_ns = uv_hrtime();
-	http_start(f->http, &request, &events, f);
+	a->follow = f;
+	a->sent_ns = uv_hrtime();
+	a->link.data = a;
+	g_queue_push_tail_link(&f->asked, &a->link);
+	a->call = http_start(f->http, &request, &events, a);
+	if (f->source.repeat_ms)
+		uv_timer_start(&f->repeat, on_retry, f->source.repeat_ms, 0);
 	g_free(url);
 }
 
+static void next_call(struct kv_follow *f)
+{
+	choose_source(f);
+	send_call(f);
+}
+
 /* Starts to read with the loop's next turn. */
 struct kv_follow *kv_follow_create(uv_loop_t *loop, struct http *http,
 				   const char *base,
@@ -338,8 +399,9 @@
 	f->events = events;
 	f->ctx = ctx;
 	uv_timer_init(loop, &f->retry);
+	uv_timer_init(loop, &f->repeat);
 	uv_timer_init(loop, &f->release);
-	f->retry.data = f->release.data = f;
+	f->retry.data = f->repeat.data = f->release.data = f;
 	uv_timer_start(&f->retry, on_retry, 0, 0);
 	return f;
 }
@@ -360,6 +422,8 @@
 {
 	if (!f)
 		return;
+	while (f->asked.head)
+		forget(f->asked.head->data);
 	kv_table_destroy(f->table);
 	g_free(f->last);
 	g_free(f->page);
@@ -367,5 +431,6 @@
 	g_free(f->left_feed);
 	g_free(f->base);
 	uv_close((uv_handle_t *)&f->retry, NULL);
+	uv_close((uv_handle_t *)&f->repeat, NULL);
 	uv_close((uv_handle_t *)&f->release, on_closed);
 }
--- a/packages/transport/tests/support_kv.c
+++ b/packages/transport/tests/support_kv.c
@@ -290,18 +290,19 @@
 	return uv_now(&rig.loop) * USEC_PER_MSEC;
 }
 
-static void on_source(void *ctx, struct kv_source *out)
+static void on_source(void *ctx, bool reads_all, struct kv_source *out)
 {
 	struct proxy *p = ctx;
 	struct feed_plan plan;
 
 	if (p->decides) {
-		plan = feed_source_plan(p->decides, now_us());
+		plan = feed_source_plan(p->decides, reads_all, now_us());
 		*out = (struct kv_source){ plan.proxy ? rig.watcher.url : NULL,
-					   plan.wait_ms, plan.timeout_us };
+					   plan.wait_ms, plan.repeat_ms,
+					   plan.timeout_us };
 		return;
 	}
-	*out = (struct kv_source){ p->asks_once ? NULL : p->asks, WAIT_MS,
+	*out = (struct kv_source){ p->asks_once ? NULL : p->asks, WAIT_MS, 0,
 				   TIMEOUT_US };
 	p->asks_once = false;
 }
@@ -313,11 +314,13 @@
 	(void)took_us;
 	p->n_heard++;
 	p->n_lost += !answers;
+	if (p->decides)
+		feed_source_on_store(p->decides, answers, now_us());
 	if (p->feed != rig.behind && answers)
 		kv_feed_heard(p->feed, 0);
 }
 
-static void on_fed(void *ctx, bool answered, uint64_t age_us)
+static bool on_fed(void *ctx, bool answered, uint64_t age_us)
 {
 	struct proxy *p = ctx;
 
@@ -325,10 +328,11 @@
 	p->n_left += !answered;
 	p->age_us = age_us;
 	if (p->decides)
-		feed_source_on_answer(p->decides, "p0", answered, age_us,
-				      now_us());
+		return feed_source_on_answer(p->decides, "p0", answered, age_us,
+					     now_us());
 	if (!answered)
 		p->asks = NULL;
+	return answered;
 }
 
 static void on_missing(void *ctx)
