relay: a few watch the store for the others in any large fleet

The limit of 128 goes; a watcher sends what fills its link for 0.25 s at most, by the width that it announces and its followers; one watcher more of a data centre for each 64 instead of 25 proxies, so that the wide ones watch.

--- a/packages/relay/include/celeryquay/relay/feed_source.h
+++ b/packages/relay/include/celeryquay/relay/feed_source.h
@@ -44,6 +44,11 @@
 			  uint64_t now_us);
 /* A value is only at the store: the next plan is for it. */
 void feed_source_on_missing(struct feed_source *f);
+/*
+ * How large a value this one may send to all that are to ask it, in bytes;
+ * 0: its link is not known.
+ */
+size_t feed_source_value_max(const struct feed_source *f);
 /* Whether others are to ask this one. */
 bool feed_source_is_watcher(const struct feed_source *f);
 
--- a/packages/relay/src/feed_source.c
+++ b/packages/relay/src/feed_source.c
@@ -11,18 +11,18 @@
  * 75 calls a minute to stay current, a proxy on its own some 60.
  */
 #define DIRECT_MAX 16
-/*
- * Beyond so many all watch it again. With 300 on a shared watch a day was
- * served 0.71 and took too long to play, on a busy machine; with 300 that each
- * watch, 0.86. What makes the difference is not known.
- */
-#define SHARED_MAX 128
 /*
  * Of a data centre: one, and one more for each so many proxies. A follower
- * makes 1.4 calls a second, so that a watcher answers 35; when the only one
- * dies, the others' watchers take over.
+ * makes 1.4 calls a second; when the only one dies, the others' watchers take
+ * over.
  */
-#define PROXIES_A_WATCHER 25
+#define PROXIES_A_WATCHER 64
+/* A new value may fill the link of a watcher for so long. */
+#define VALUE_MS 250
+#define BYTES_PER_MS_OF_MBPS 125
+/* Values are sent as text, four characters for three bytes. */
+#define TEXT_CHARS 4
+#define TEXT_BYTES 3
 /*
  * A watch that nobody else relies on. A longer wait makes fewer calls; a change
  * that a silent connection hides is found with the next one.
@@ -201,8 +201,7 @@
 	bool was_watcher = f->is_watcher, was_shared = f->is_shared;
 	unsigned i;
 
-	f->is_shared = f->proxies->len + 1 > DIRECT_MAX &&
-		       f->proxies->len + 1 <= SHARED_MAX;
+	f->is_shared = f->proxies->len + 1 > DIRECT_MAX;
 	f->is_watcher = f->is_shared && watches(f, &self, &self);
 	for (i = 0; f->is_shared && i < f->proxies->len; i++) {
 		struct relay_server_info *p = g_ptr_array_index(f->proxies, i);
@@ -448,6 +447,31 @@
 	f->asks_once = true;
 }
 
+/* Those of its data centre, shared among its watchers. */
+static unsigned followers(const struct feed_source *f)
+{
+	unsigned i, near = 1;
+
+	for (i = 0; i < f->proxies->len; i++) {
+		const struct relay_server_info *p =
+			g_ptr_array_index(f->proxies, i);
+
+		near += !g_strcmp0(p->zone, f->zone);
+	}
+	return MIN(near, PROXIES_A_WATCHER);
+}
+
+/*
+ * What a watcher may send of a new value. A small one spares its followers a
+ * call to the store each, and reaches those that the store doesn't answer.
+ */
+size_t feed_source_value_max(const struct feed_source *f)
+{
+	size_t bytes = (size_t)f->mbps * BYTES_PER_MS_OF_MBPS * VALUE_MS;
+
+	return bytes / followers(f) * TEXT_BYTES / TEXT_CHARS;
+}
+
 /* Whether others are to ask this one. */
 bool feed_source_is_watcher(const struct feed_source *f)
 {
--- a/packages/transport/include/celeryquay/transport/kv_feed.h
+++ b/packages/transport/include/celeryquay/transport/kv_feed.h
@@ -16,6 +16,9 @@
 /* Before the port that it serves. */
 void kv_feed_destroy(struct kv_feed *f);
 
+/* Values of up to so many bytes are sent, others are only named. */
+void kv_feed_limit(struct kv_feed *f, size_t value_max);
+
 /* As the follower tells them. */
 void kv_feed_set(struct kv_feed *f, const char *key, uint64_t revision,
 		 struct str value);
--- a/packages/transport/src/kv_feed.c
+++ b/packages/transport/src/kv_feed.c
@@ -16,9 +16,10 @@
  * Failure: a configuration of a few hundred kilobytes goes to 75 followers over
  * a link of 10 Mbit/s. It takes many seconds, their calls end after one, they
  * leave for other watchers and fill those links, too. It shows as watchers that
- * answer nobody while the store, with a link for it, is idle.
+ * answer nobody while the store, with a link for it, is idle. Guard: what is
+ * sent goes by the link and its followers; this much where neither is known.
  */
-#define VALUE_MAX_BYTES 4096
+#define VALUE_LEAST_BYTES 4096
 /* Changes that are kept; who is further behind reads all. */
 #define CHANGES_MAX 4096
 #define WAIT_MAX_MS 5000
@@ -57,6 +58,7 @@
 	uint64_t at;
 	uint64_t heard_us; /* uv_now() in microseconds */
 	bool settled; /* everything was read once */
+	size_t value_max; /* larger ones are only named */
 	uint64_t log_at; /* all changes after this revision are kept */
 	GQueue waiters;
 };
@@ -89,6 +91,7 @@
 
 	f->loop = loop;
 	f->codec = codec;
+	f->value_max = VALUE_LEAST_BYTES;
 	f->entries = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					   entry_free);
 	f->changes = g_ptr_array_new_with_free_func(change_free);
@@ -122,6 +125,12 @@
 	f->first += CHANGES_MAX / 2;
 }
 
+/* How large a value its link carries to all that follow it, in bytes. */
+void kv_feed_limit(struct kv_feed *f, size_t value_max)
+{
+	f->value_max = MAX(value_max, VALUE_LEAST_BYTES);
+}
+
 /* A key has a new value. */
 void kv_feed_set(struct kv_feed *f, const char *key, uint64_t revision,
 		 struct str value)
@@ -150,7 +159,7 @@
 	struct entry *e = g_hash_table_lookup(f->entries, key);
 
 	if (with_value && !deleted && e &&
-	    g_bytes_get_size(e->value) <= VALUE_MAX_BYTES)
+	    g_bytes_get_size(e->value) <= f->value_max)
 		item.value = str_from_bytes(e->value);
 	return item;
 }
--- a/packages/transport/tests/test_kv_feed.c
+++ b/packages/transport/tests/test_kv_feed.c
@@ -59,6 +59,27 @@
 }
 END_TEST
 
+/*
+ * The watcher's link carries it to all that follow: nobody needs the store,
+ * and who can't reach the store has the new configuration, too.
+ */
+START_TEST(a_value_that_the_link_carries_comes_from_the_watcher)
+{
+	char *large = g_strnfill(20000, 'x');
+
+	kv_rig_start();
+	kv_feed_limit(rig.watcher.feed, 30000);
+	kv_rig_expect("op/config", "one");
+	rig.follower.store = KV_RIG_SILENT;
+	kv_rig_put("op/config", large);
+	kv_rig_expect("op/config", large);
+	ck_assert_uint_eq(rig.follower.n_missing, 0);
+	ck_assert_uint_eq(rig.follower.store_calls, 0);
+	g_free(large);
+	kv_rig_end();
+}
+END_TEST
+
 /*
  * The one call for it fails. The watcher won't tell of it again, and a proxy
  * that went on with the watcher's changes stayed with the old configuration.
@@ -205,6 +226,8 @@
 
 	tcase_add_test(tc, what_changes_comes_through_the_other);
 	tcase_add_test(tc, a_large_value_comes_from_the_store);
+	tcase_add_test(tc,
+		       a_value_that_the_link_carries_comes_from_the_watcher);
 	tcase_add_test(tc, a_large_value_is_asked_for_until_it_comes);
 	tcase_add_test(tc, the_store_is_not_asked);
 	tcase_add_test(tc, an_end_between_two_calls_leaves_none);
