relay: answers of the store that can't be read are counted and logged

An answer that is cut named no new configuration before, either, but left no trace beyond a debug line: an operator saw store-lost alone. Each is logged with the number, the status and its length, and counted. The test cuts answers while a configuration changes: the old one stays, and the new one comes once the answers are whole. It held before; only the count is new.

--- a/packages/transport/include/celeryquay/transport/kv_follow.h
+++ b/packages/transport/include/celeryquay/transport/kv_follow.h
@@ -73,6 +73,8 @@
 	 * wait for news, 0 otherwise.
 	 */
 	void (*heard)(void *ctx, bool answers, uint64_t took_us);
+	/* An answer of so many bytes can't be read; it is asked for again. */
+	void (*refused)(void *ctx, long status, size_t len);
 	/*
 	 * A proxy told of a value that it doesn't send; the store is to be
 	 * asked for all of it once.
--- a/packages/transport/src/kv_follow.c
+++ b/packages/transport/src/kv_follow.c
@@ -298,9 +298,12 @@
 	if (err->code && f->asked.head)
 		return;
 	cancel_others(f);
-	if (!err->code && status == HTTP_OK && read_body(f, body, &answer)) {
-		take_answer(f, &answer, took_us);
-		return;
+	if (!err->code && status == HTTP_OK) {
+		if (read_body(f, body, &answer)) {
+			take_answer(f, &answer, took_us);
+			return;
+		}
+		f->events->refused(f->ctx, status, body.len);
 	}
 	if (!err->code && status == f->codec->too_old && f->cursor) {
 		start_over(f);
--- a/packages/transport/tests/support_kv.c
+++ b/packages/transport/tests/support_kv.c
@@ -220,6 +220,8 @@
 		return;
 	}
 	out = rows_after(after);
+	if (p->store == KV_RIG_CUT)
+		g_string_truncate(out, 1);
 	if (p->store == KV_RIG_LATE)
 		answer_late(wait, out->str);
 	else
@@ -335,6 +337,15 @@
 	return answered;
 }
 
+static void on_refused(void *ctx, long status, size_t len)
+{
+	struct proxy *p = ctx;
+
+	(void)status;
+	(void)len;
+	p->n_refused++;
+}
+
 static void on_missing(void *ctx)
 {
 	struct proxy *p = ctx;
@@ -352,6 +363,7 @@
 	.source = on_source,
 	.heard = on_heard,
 	.fed = on_fed,
+	.refused = on_refused,
 	.missing = on_missing,
 };
 
--- a/packages/transport/tests/support_kv.h
+++ b/packages/transport/tests/support_kv.h
@@ -23,7 +23,8 @@
 	KV_RIG_SILENT, /* it takes the call and never answers */
 	KV_RIG_REFUSES,
 	KV_RIG_LATE, /* after KV_RIG_LATE_MS */
-	KV_RIG_SOME /* it answers the third call of three */
+	KV_RIG_SOME, /* it answers the third call of three */
+	KV_RIG_CUT /* its answers end in their first line */
 };
 
 #define KV_RIG_LATE_MS 350
@@ -44,6 +45,7 @@
 	bool mute; /* it answers nobody */
 	GQueue muted; /* struct ready_wait */
 	unsigned n_settled, n_heard, n_lost, n_fed, n_left, n_missing;
+	unsigned n_refused;
 	uint64_t age_us;
 };
 
--- a/packages/transport/tests/test_kv_silence.c
+++ b/packages/transport/tests/test_kv_silence.c
@@ -163,6 +163,33 @@
 }
 END_TEST
 
+static bool refused_some(void *ctx)
+{
+	(void)ctx;
+	return rig.follower.n_refused >= 3;
+}
+
+/*
+ * The store's answers are cut. They name no new configuration and take nothing
+ * away; each is counted, and all is asked for again.
+ */
+START_TEST(a_cut_answer_is_no_news)
+{
+	kv_rig_start_fleet(SMALL);
+	kv_rig_expect("op/config", "one");
+	kv_rig_store(KV_RIG_CUT);
+	kv_rig_put("op/config", "two");
+	loop_until(&rig.loop, refused_some, NULL);
+	ck_assert_str_eq(g_hash_table_lookup(rig.follower.has, "op/config"),
+			 "one");
+	ck_assert_str_eq(g_hash_table_lookup(rig.follower.has, "servers/a"),
+			 "up");
+	kv_rig_store(KV_RIG_ANSWERS);
+	kv_rig_expect("op/config", "two");
+	kv_rig_end();
+}
+END_TEST
+
 static bool fed_again(void *ctx)
 {
 	const struct calls *c = ctx;
@@ -205,6 +232,7 @@
 	tcase_add_test(tc, a_store_that_answers_some_calls_only);
 	tcase_add_test(tc, a_late_answer_counts);
 	tcase_add_test(tc, a_first_read_in_a_silence);
+	tcase_add_test(tc, a_cut_answer_is_no_news);
 	tcase_add_test(tc, servers_that_left_are_dropped_after_a_silence);
 	return suite_main("kv silence", tc);
 }
