--- a/packages/relay/src/feed_source.c
+++ b/packages/relay/src/feed_source.c
@@ -243,27 +243,35 @@
 	choose_watchers(f);
 }
 
-static bool is_bad(const struct feed_source *f, const char *name,
-		   uint64_t now_us)
+static const struct fault *fault_of(const struct feed_source *f,
+				    const char *name, uint64_t now_us)
 {
 	const struct fault *fault = g_hash_table_lookup(f->faults, name);
 
-	return fault && now_us < fault->until_us;
+	return fault && now_us < fault->until_us ? fault : NULL;
 }
 
+/*
+ * One that failed is passed over. In a silence one that hears nothing of the
+ * store is no worse than this proxy, and is asked where there is no other.
+ */
 static const struct relay_server_info *pick(const struct feed_source *f,
 					    uint64_t now_us)
 {
 	unsigned i, n = f->watchers->len, first = f->n_behind / ASKED_IN_TURN;
+	const struct relay_server_info *behind = NULL;
 
 	for (i = 0; i < n; i++) {
 		const struct relay_server_info *p =
 			g_ptr_array_index(f->watchers, (first + i) % n);
+		const struct fault *fault = fault_of(f, p->id, now_us);
 
-		if (!is_bad(f, p->id, now_us))
+		if (!fault)
 			return p;
+		if (!behind && fault->answered)
+			behind = p;
 	}
-	return NULL;
+	return f->is_silent ? behind : NULL;
 }
 
 /* Spread over the fleet, so that proxies don't ask in step. */
@@ -370,15 +378,6 @@
 	g_hash_table_replace(f->faults, g_strdup(name), fault);
 }
 
-static gboolean was_behind(gpointer name, gpointer value, gpointer ctx)
-{
-	const struct fault *fault = value;
-
-	(void)name;
-	(void)ctx;
-	return fault->answered;
-}
-
 /* The preferred watcher may notice later that the store is back. */
 static void end_silence(struct feed_source *f, uint64_t now_us)
 {
@@ -387,14 +386,12 @@
 	f->is_silent = false;
 }
 
-/* Those that were left since they hear nothing are no worse than this one. */
 static void begin_silence(struct feed_source *f, uint64_t now_us)
 {
 	f->is_silent = true;
 	f->store_until_us = 0;
 	f->step_us = STEP_LEAST_US;
 	f->question_us = now_us + STEP_LEAST_US / 2 + spread(f, STEP_LEAST_US);
-	g_hash_table_foreach_remove(f->faults, was_behind, NULL);
 }
 
 /*
