--- a/packages/transport/src/kv_follow.c
+++ b/packages/transport/src/kv_follow.c
@@ -119,10 +119,10 @@
 /* Nothing that was asked before counts any more. */
 static void cancel_others(struct kv_follow *f)
 {
-	uv_timer_stop(&f->repeat);
-	while (f->asked.head) {
-		struct asked *a = f->asked.head->data;
+	struct asked *a;
 
+	uv_timer_stop(&f->repeat);
+	while ((a = g_queue_peek_head(&f->asked))) {
 		http_cancel(a->call);
 		forget(a);
 	}
@@ -423,10 +423,12 @@
 /* NULL is ignored. The loop must turn once more for the memory to go. */
 void kv_follow_destroy(struct kv_follow *f)
 {
+	struct asked *a;
+
 	if (!f)
 		return;
-	while (f->asked.head)
-		forget(f->asked.head->data);
+	while ((a = g_queue_peek_head(&f->asked)))
+		forget(a);
 	kv_table_destroy(f->table);
 	g_free(f->last);
 	g_free(f->page);
