--- a/packages/transport/tests/test_kv_silence.c
+++ b/packages/transport/tests/test_kv_silence.c
@@ -28,14 +28,27 @@
 	return c->proxy->store_calls > c->n;
 }
 
-/* Until the proxy has a call at the store that it will never be answered. */
-static void until_in_doubt(struct proxy *p)
+/*
+ * Until the proxy has a call at the store that will never be answered. Says how
+ * many it has given up by then.
+ */
+static unsigned until_in_doubt(struct proxy *p)
 {
 	struct calls c = { p, 0 };
 
 	loop_until(&rig.loop, lost_once, p);
 	c.n = p->store_calls;
 	loop_until(&rig.loop, called_again, &c);
+	return p->n_lost;
+}
+
+/* The store falls silent for a fleet of so many, in which all is known. */
+static unsigned start_in_silence(unsigned n_proxies, struct proxy *p)
+{
+	kv_rig_start_fleet(n_proxies);
+	kv_rig_expect("op/config", "one");
+	kv_rig_store(KV_RIG_SILENT);
+	return until_in_doubt(p);
 }
 
 /*
@@ -46,13 +59,8 @@
  */
 START_TEST(a_store_that_is_back_is_read_at_once)
 {
-	unsigned lost;
+	unsigned lost = start_in_silence(SMALL, &rig.follower);
 
-	kv_rig_start_fleet(SMALL);
-	kv_rig_expect("op/config", "one");
-	kv_rig_store(KV_RIG_SILENT);
-	until_in_doubt(&rig.follower);
-	lost = rig.follower.n_lost;
 	kv_rig_store(KV_RIG_ANSWERS);
 	kv_rig_put("op/config", "two");
 	kv_rig_expect("op/config", "two");
@@ -67,13 +75,8 @@
  */
 START_TEST(a_watcher_notices_it_for_the_others)
 {
-	unsigned lost;
+	unsigned lost = start_in_silence(LARGE, &rig.watcher);
 
-	kv_rig_start_fleet(LARGE);
-	kv_rig_expect("op/config", "one");
-	kv_rig_store(KV_RIG_SILENT);
-	until_in_doubt(&rig.watcher);
-	lost = rig.watcher.n_lost;
 	rig.watcher.store = KV_RIG_ANSWERS;
 	kv_rig_put("op/config", "two");
 	kv_rig_expect("op/config", "two");
@@ -88,10 +91,7 @@
  */
 START_TEST(the_watcher_dies_in_the_silence)
 {
-	kv_rig_start_fleet(LARGE);
-	kv_rig_expect("op/config", "one");
-	kv_rig_store(KV_RIG_SILENT);
-	until_in_doubt(&rig.watcher);
+	start_in_silence(LARGE, &rig.watcher);
 	rig.watcher.mute = true;
 	loop_until(&rig.loop, lost_once, &rig.follower);
 	rig.follower.store = KV_RIG_ANSWERS;
@@ -107,13 +107,8 @@
  */
 START_TEST(a_store_that_answers_some_calls_only)
 {
-	unsigned lost;
+	unsigned lost = start_in_silence(SMALL, &rig.follower);
 
-	kv_rig_start_fleet(SMALL);
-	kv_rig_expect("op/config", "one");
-	kv_rig_store(KV_RIG_SILENT);
-	until_in_doubt(&rig.follower);
-	lost = rig.follower.n_lost;
 	kv_rig_put("op/config", "two");
 	kv_rig_store(KV_RIG_SOME);
 	rig.follower.store_calls = 0;
@@ -129,13 +124,8 @@
  */
 START_TEST(a_late_answer_counts)
 {
-	unsigned lost;
+	unsigned lost = start_in_silence(SMALL, &rig.follower);
 
-	kv_rig_start_fleet(SMALL);
-	kv_rig_expect("op/config", "one");
-	kv_rig_store(KV_RIG_SILENT);
-	until_in_doubt(&rig.follower);
-	lost = rig.follower.n_lost;
 	kv_rig_put("op/config", "two");
 	kv_rig_store(KV_RIG_LATE);
 	kv_rig_expect("op/config", "two");
@@ -154,8 +144,7 @@
 
 	kv_rig_start_fleet(SMALL);
 	rig.follower.store = KV_RIG_SILENT;
-	until_in_doubt(&rig.follower);
-	lost = rig.follower.n_lost;
+	lost = until_in_doubt(&rig.follower);
 	rig.follower.store = KV_RIG_ANSWERS;
 	kv_rig_expect("op/config", "one");
 	ck_assert_uint_eq(rig.follower.n_lost, lost);
