transport: an answer of the store may take as long as the link needs

Cause, second by second, from logs of 300 proxies on links of 2.9 Mbit/s with a configuration of some hundred KB: the first read of all at -13.9 s is small and comes in 80 ms; the configuration is written half a second later. A watcher's call that brings it ends after 1.2 s, a follower's own read of all after 1 s, each in the middle of an answer that needs 2 s, and begins anew; the links stay full of answers that are thrown away. 78 of 300 had the configuration by +4 s, 380 said that the store was lost.

Ruled out: the store's rates (no 429), the store's own link, a fleet that comes up slowly (it never does), the size of the fleet alone (300 with 40 profiles come up on the same links).

Change: the limit of a call counts from the last byte of its answer, a call that is answered is not sent once more, and a value that a watcher only names is read by its key in place of all that the store has. A watcher's answer may go on for 3 s, since its link may be the narrow one.

--- a/packages/relay/include/celeryquay/relay/feed_source.h
+++ b/packages/relay/include/celeryquay/relay/feed_source.h
@@ -27,7 +27,8 @@
 	unsigned wait_ms; /* for news */
 	/* Sent once more after so long without an answer; 0: not at all. */
 	unsigned repeat_ms;
-	uint64_t timeout_us; /* of the whole call */
+	uint64_t timeout_us; /* without a byte of the answer */
+	uint64_t most_us; /* of the whole call */
 };
 
 /* reads_all: the call reads all rather than what changes. */
--- a/packages/relay/src/feed_source.c
+++ b/packages/relay/src/feed_source.c
@@ -37,6 +37,12 @@
 #define FEED_TIMEOUT_US (1000 * USEC_PER_MSEC)
 /* One in a silence: its answer says whether the store is back. */
 #define FEED_SILENT_MS 250
+/*
+ * An answer that goes on. Over a narrow link one of the store takes seconds,
+ * and to cut it short is to begin anew; another watcher's link may be wider.
+ */
+#define FEED_MOST_US (3 * USEC_PER_SEC)
+#define STORE_MOST_US (20 * USEC_PER_SEC)
 /* All of the store, which answers within 0.3 s also when it is slow. */
 #define RANGE_TIMEOUT_US (1000 * USEC_PER_MSEC)
 /*
@@ -330,9 +336,8 @@
 				   .timeout_us = WATCH_TIMEOUT_US };
 }
 
-/* Whom the next call asks, and how long it waits. */
-struct feed_plan feed_source_plan(struct feed_source *f, bool reads_all,
-				  uint64_t now_us)
+static struct feed_plan plan(struct feed_source *f, bool reads_all,
+			     uint64_t now_us)
 {
 	const struct relay_server_info *proxy = NULL;
 
@@ -356,6 +361,16 @@
 				   .timeout_us = FEED_TIMEOUT_US };
 }
 
+/* Whom the next call asks, and how long it waits. */
+struct feed_plan feed_source_plan(struct feed_source *f, bool reads_all,
+				  uint64_t now_us)
+{
+	struct feed_plan p = plan(f, reads_all, now_us);
+
+	p.most_us = p.proxy ? FEED_MOST_US : STORE_MOST_US;
+	return p;
+}
+
 static void log_bad(const char *name, bool answered, uint64_t age_us)
 {
 	struct log_line *l = log_event(LOG_STATE, "watcher-left");
--- a/packages/transport/include/celeryquay/transport/http.h
+++ b/packages/transport/include/celeryquay/transport/http.h
@@ -35,6 +35,7 @@
 	const char *const *headers;
 	uint64_t timeout_us; /* of the whole call; 0: none */
 	uint64_t connect_timeout_us;
+	uint64_t silence_us; /* without a byte of the body; 0: no limit */
 	/*
 	 * A kept connection may be closed by the server just then; libcurl
 	 * sends the call again without a word. A call that must not run
@@ -48,5 +49,7 @@
 struct http_call *http_start(struct http *h, const struct http_request *request,
 			     const struct http_events *events, void *ctx);
 void http_cancel(struct http_call *call);
+/* Whether a part of the answer's body has come. */
+bool http_has_begun(const struct http_call *call);
 
 #endif
--- a/packages/transport/include/celeryquay/transport/kv_follow.h
+++ b/packages/transport/include/celeryquay/transport/kv_follow.h
@@ -32,6 +32,8 @@
 	char *(*range_url)(const char *base, const char *page);
 	/* Answered as soon as there is something newer than `at`. */
 	char *(*watch_url)(const char *base, uint64_t at, unsigned wait_ms);
+	/* One key; read() takes its answer, which has no `at`. */
+	char *(*key_url)(const char *base, const char *key);
 	/* The same two of another proxy; since: values up to it are known. */
 	char *(*feed_range_url)(const char *base, uint64_t since);
 	char *(*feed_watch_url)(const char *base, uint64_t cursor,
@@ -43,6 +45,7 @@
 	void (*write)(GString *out, const struct kv_answer *answer,
 		      const struct kv_item *items, unsigned n);
 	long too_old; /* the status that says that `at` is */
+	long not_found; /* the status of a key that went */
 	/* Keys that are missing in an outage and may only have lapsed. */
 	const char *held_prefix;
 };
@@ -53,7 +56,9 @@
 	unsigned wait_ms;
 	/* It is sent once more after so long without an answer; 0: it isn't. */
 	unsigned repeat_ms;
-	uint64_t timeout_us; /* of the call, more than it waits */
+	/* Until the answer begins, and between two parts; more than it waits. */
+	uint64_t timeout_us;
+	uint64_t most_us; /* of the whole call, however its answer goes on */
 };
 
 struct kv_events {
@@ -77,7 +82,7 @@
 	void (*refused)(void *ctx, long status, size_t len);
 	/*
 	 * A proxy told of a value that it doesn't send; the store is to be
-	 * asked for all of it once.
+	 * asked for it once.
 	 */
 	void (*missing)(void *ctx);
 	/*
--- a/packages/transport/src/http.c
+++ b/packages/transport/src/http.c
@@ -10,10 +10,12 @@
 /* A silent path shows within seconds, also while a watch waits. */
 #define KEEPALIVE_IDLE_S 1L
 #define KEEPALIVE_INTERVAL_S 1L
+#define NSEC_PER_USEC 1000
 
 struct http {
 	uv_loop_t *loop;
-	uv_timer_t timer;
+	uv_timer_t timer; /* libcurl's */
+	uv_timer_t silence; /* until the first call may be silent */
 	CURLM *multi;
 	struct curl_slist *headers;
 	GQueue calls;
@@ -29,6 +31,9 @@
 	void *ctx;
 	GString *in;
 	bool too_large;
+	bool begun;
+	uint64_t silence_us; /* 0: no limit */
+	uint64_t heard_us; /* the last byte came, or it began */
 	char why[CURL_ERROR_SIZE];
 	GList link; /* in calls */
 	GList fed_link;
@@ -41,6 +46,11 @@
 	curl_socket_t fd;
 };
 
+static uint64_t now_us(void)
+{
+	return uv_hrtime() / NSEC_PER_USEC;
+}
+
 static long to_ms(uint64_t us)
 {
 	return (long)((us + USEC_PER_MSEC - 1) / USEC_PER_MSEC);
@@ -129,6 +139,66 @@
 	}
 }
 
+static uint64_t silent_at_us(const struct http_call *call)
+{
+	return call->heard_us + call->silence_us;
+}
+
+static struct http_call *find_silent(const struct http *h)
+{
+	GList *l;
+
+	for (l = h->calls.head; l; l = l->next) {
+		struct http_call *call = l->data;
+
+		if (call->silence_us && now_us() >= silent_at_us(call))
+			return call;
+	}
+	return NULL;
+}
+
+static void on_silence(uv_timer_t *timer);
+
+static void watch_silence(struct http *h)
+{
+	uint64_t first_us = UINT64_MAX, now = now_us();
+	GList *l;
+
+	for (l = h->calls.head; l; l = l->next) {
+		const struct http_call *call = l->data;
+
+		if (call->silence_us)
+			first_us = MIN(first_us, silent_at_us(call));
+	}
+	if (first_us == UINT64_MAX)
+		uv_timer_stop(&h->silence);
+	else
+		uv_timer_start(&h->silence, on_silence,
+			       (uint64_t)to_ms(first_us - MIN(first_us, now)),
+			       0);
+}
+
+/*
+ * Ends the calls whose answer has not gone on for too long. A long answer over
+ * a narrow link takes its time, which a limit on the whole call would cut.
+ */
+static void on_silence(uv_timer_t *timer)
+{
+	struct http *h = timer->data;
+	struct http_call *call;
+
+	while (!h->closing && (call = find_silent(h))) {
+		g_strlcpy(call->why, "the answer does not go on",
+			  sizeof(call->why));
+		curl_multi_remove_handle(h->multi, call->easy);
+		finish(call, CURLE_OPERATION_TIMEDOUT);
+		if (!h->closing)
+			call_free(call);
+	}
+	if (!h->closing)
+		watch_silence(h);
+}
+
 static void act(struct http *h, curl_socket_t fd, int flags)
 {
 	int running;
@@ -233,6 +303,8 @@
 	h->loop = loop;
 	uv_timer_init(loop, &h->timer);
 	h->timer.data = h;
+	uv_timer_init(loop, &h->silence);
+	h->silence.data = h;
 	h->headers = curl_slist_append(NULL, "Content-Type: application/json");
 	/* libcurl would wait a second for "100 Continue" on large bodies. */
 	h->headers = curl_slist_append(h->headers, "Expect:");
@@ -265,6 +337,7 @@
 	curl_multi_cleanup(h->multi);
 	curl_slist_free_all(h->headers);
 	curl_global_cleanup();
+	uv_close((uv_handle_t *)&h->silence, NULL);
 	uv_close((uv_handle_t *)&h->timer, free_http);
 }
 
@@ -279,6 +352,8 @@
 		return 0;
 	}
 	g_string_append_len(call->in, data, (gssize)len);
+	call->begun = true;
+	call->heard_us = now_us();
 	if (call->events->data && !call->is_fed) {
 		call->is_fed = true;
 		g_queue_push_tail_link(&h->fed, &call->fed_link);
@@ -363,9 +438,19 @@
 	g_queue_push_tail_link(&h->calls, &call->link);
 	set_options(call, request);
 	curl_multi_add_handle(h->multi, call->easy);
+	call->silence_us = request->silence_us;
+	call->heard_us = now_us();
+	if (call->silence_us)
+		watch_silence(h);
 	return call;
 }
 
+/* Whether a part of the answer's body has come. */
+bool http_has_begun(const struct http_call *call)
+{
+	return call->begun;
+}
+
 /* Ends a call without events; NULL is ignored. Not for use in its done(). */
 void http_cancel(struct http_call *call)
 {
--- a/packages/transport/src/kv_follow.c
+++ b/packages/transport/src/kv_follow.c
@@ -48,7 +48,9 @@
 	char *last; /* key of the answer's last item */
 	unsigned delay_ms; /* before the next try; 0: all is well */
 	bool incomplete; /* a value was left out that isn't known here */
-	bool owed; /* the store's range that brings it has not come yet */
+	bool owed; /* the store's answer that brings it has not come yet */
+	char *owed_key; /* it is this one; NULL: several */
+	bool reads_key; /* the call in flight asks for it */
 	bool partial; /* the range is no range: nothing is missing in it */
 	bool failing;
 	bool holding;
@@ -101,6 +103,30 @@
 	next_call(timer->data);
 }
 
+static bool is_answered(const struct kv_follow *f)
+{
+	GList *l;
+
+	for (l = f->asked.head; l; l = l->next) {
+		const struct asked *a = l->data;
+
+		if (http_has_begun(a->call))
+			return true;
+	}
+	return false;
+}
+
+/* An answer that goes on over a narrow link shares it with no second one. */
+static void on_repeat(uv_timer_t *timer)
+{
+	struct kv_follow *f = timer->data;
+
+	if (!is_answered(f))
+		next_call(f);
+	else
+		uv_timer_start(timer, on_repeat, f->source.repeat_ms, 0);
+}
+
 static void retry_later(struct kv_follow *f)
 {
 	unsigned delay = CLAMP(f->delay_ms, RETRY_LEAST_MS, RETRY_MOST_MS);
@@ -128,6 +154,18 @@
 	}
 }
 
+/* One key alone is read by itself; several are read with all others. */
+static void note_missing(struct kv_follow *f, const char *key)
+{
+	bool is_first = !f->incomplete;
+
+	f->incomplete = true;
+	if (is_first)
+		f->owed_key = g_strdup(key);
+	else if (g_strcmp0(f->owed_key, key))
+		g_clear_pointer(&f->owed_key, g_free);
+}
+
 static void take_item(void *ctx, const struct kv_item *item)
 {
 	struct kv_follow *f = ctx;
@@ -141,7 +179,7 @@
 			f->events->gone(f->ctx, item->key, item->revision);
 	} else if (!item->value.data) {
 		if (!kv_table_confirm(f->table, item->key, item->revision))
-			f->incomplete = true;
+			note_missing(f, item->key);
 	} else if (kv_table_put(f->table, item->key, item->revision)) {
 		f->events->set(f->ctx, item->key, item->revision, item->value);
 	}
@@ -153,6 +191,8 @@
 {
 	*answer = (struct kv_answer){ 0 };
 	g_clear_pointer(&f->last, g_free);
+	if (!f->owed)
+		g_clear_pointer(&f->owed_key, g_free);
 	return f->codec->read(body, answer, take_item, f);
 }
 
@@ -248,12 +288,23 @@
 	next_call(f);
 }
 
+/* The watcher's changes go on after the value that it had left out. */
+static void take_key(struct kv_follow *f)
+{
+	f->owed = false;
+	f->cursor = f->known_at;
+	f->events->settled(f->ctx, f->known_at);
+	next_call(f);
+}
+
 static void take_answer(struct kv_follow *f, const struct kv_answer *answer,
 			uint64_t took_us)
 {
 	tell_works(f, answer, took_us);
 	f->delay_ms = 0;
-	if (f->incomplete) {
+	if (f->reads_key) {
+		take_key(f);
+	} else if (f->incomplete) {
 		ask_store_once(f, answer);
 	} else if (f->cursor) {
 		take_news(f, answer);
@@ -279,7 +330,7 @@
 static bool read_body(struct kv_follow *f, struct str body,
 		      struct kv_answer *answer)
 {
-	if (!f->cursor && !f->page)
+	if (!f->cursor && !f->page && !f->reads_key)
 		kv_table_range_begin(f->table);
 	return kv_follow_read(f, body, answer);
 }
@@ -310,6 +361,11 @@
 		retry_later(f);
 		return;
 	}
+	if (!err->code && status == f->codec->not_found && f->reads_key) {
+		answer = (struct kv_answer){ 0 };
+		take_answer(f, &answer, took_us);
+		return;
+	}
 	LOG_DBG("status %ld: %s", status, err->message);
 	on_failed(f);
 }
@@ -354,6 +410,8 @@
 						source->wait_ms);
 	if (f->feed)
 		return f->codec->feed_range_url(f->feed, f->known_at);
+	if (f->reads_key)
+		return f->codec->key_url(f->base, f->owed_key);
 	if (f->cursor)
 		return f->codec->watch_url(f->base, f->cursor, source->wait_ms);
 	return f->codec->range_url(f->base, f->page);
@@ -365,10 +423,13 @@
 	static const struct http_events events = { .done = on_done };
 	struct http_request request = { .method = HTTP_GET };
 	struct asked *a = g_new0(struct asked, 1);
-	char *url = next_url(f, &f->source);
+	char *url;
 
+	f->reads_key = f->owed && f->owed_key && !f->feed && !f->page;
+	url = next_url(f, &f->source);
 	request.url = url;
-	request.timeout_us = f->source.timeout_us;
+	request.timeout_us = f->source.most_us;
+	request.silence_us = f->source.timeout_us;
 	request.connect_timeout_us =
 		MIN(f->source.timeout_us, CONNECT_TIMEOUT_US);
 	a->follow = f;
@@ -377,7 +438,7 @@
 	g_queue_push_tail_link(&f->asked, &a->link);
 	a->call = http_start(f->http, &request, &events, a);
 	if (f->source.repeat_ms)
-		uv_timer_start(&f->repeat, on_retry, f->source.repeat_ms, 0);
+		uv_timer_start(&f->repeat, on_repeat, f->source.repeat_ms, 0);
 	g_free(url);
 }
 
@@ -431,6 +492,7 @@
 		forget(a);
 	kv_table_destroy(f->table);
 	g_free(f->last);
+	g_free(f->owed_key);
 	g_free(f->page);
 	g_free(f->feed);
 	g_free(f->left_feed);
--- a/packages/transport/tests/support_kv.c
+++ b/packages/transport/tests/support_kv.c
@@ -41,6 +41,11 @@
 	return g_strdup_printf("%s/store?after=%" G_GUINT64_FORMAT, base, at);
 }
 
+static char *key_url(const char *base, const char *key)
+{
+	return g_strdup_printf("%s/store?key=%s", base, key);
+}
+
 static char *feed_range_url(const char *base, uint64_t since)
 {
 	return g_strdup_printf("%s/feed?since=%" G_GUINT64_FORMAT, base, since);
@@ -110,11 +115,13 @@
 const struct kv_codec kv_rig_codec = {
 	.range_url = range_url,
 	.watch_url = watch_url,
+	.key_url = key_url,
 	.feed_range_url = feed_range_url,
 	.feed_watch_url = feed_watch_url,
 	.read = read_lines,
 	.write = write_lines,
 	.too_old = 410,
+	.not_found = 404,
 	.held_prefix = "servers/",
 };
 
@@ -160,8 +167,8 @@
 	ready_on_gone(wait, on_late_gone, l);
 }
 
-/* What changed after a revision; all for 0. */
-static GString *rows_after(uint64_t after)
+/* What changed after a revision; all for 0; of one key alone if it is given. */
+static GString *rows_after(uint64_t after, const char *only)
 {
 	GString *out = g_string_new(NULL);
 	GHashTableIter iter;
@@ -173,6 +180,8 @@
 	while (g_hash_table_iter_next(&iter, &key, &value)) {
 		const struct row *r = value;
 
+		if (only && strcmp(key, only))
+			continue;
 		if (r->revision > after && (r->value || after))
 			g_string_append_printf(out,
 					       "%s %" G_GUINT64_FORMAT " %s\n",
@@ -203,23 +212,29 @@
 static void ask_store(struct proxy *p, struct str query,
 		      struct ready_wait *wait)
 {
+	char *text = str_dup(query);
+	const char *key =
+		g_str_has_prefix(text, "key=") ? text + strlen("key=") : NULL;
 	uint64_t after = 0;
 	GString *out;
 
 	rig.calls++;
 	p->store_calls++;
-	sscanf(query.data, "after=%" G_GUINT64_FORMAT, &after);
+	sscanf(text, "after=%" G_GUINT64_FORMAT, &after);
 	if (is_held(p)) {
 		hold(wait);
+		g_free(text);
 		return;
 	}
 	if (rig.down || p->store == KV_RIG_REFUSES ||
 	    (!after && rig.fail_ranges)) {
 		rig.fail_ranges -= !rig.down && rig.fail_ranges;
 		ready_answer(wait, 503, STR(""));
+		g_free(text);
 		return;
 	}
-	out = rows_after(after);
+	out = rows_after(after, key);
+	g_free(text);
 	if (p->store == KV_RIG_CUT)
 		g_string_truncate(out, 1);
 	if (p->store == KV_RIG_LATE)
@@ -301,11 +316,11 @@
 		plan = feed_source_plan(p->decides, reads_all, now_us());
 		*out = (struct kv_source){ plan.proxy ? rig.watcher.url : NULL,
 					   plan.wait_ms, plan.repeat_ms,
-					   plan.timeout_us };
+					   plan.timeout_us, plan.most_us };
 		return;
 	}
 	*out = (struct kv_source){ p->asks_once ? NULL : p->asks, WAIT_MS, 0,
-				   TIMEOUT_US };
+				   TIMEOUT_US, TIMEOUT_US };
 	p->asks_once = false;
 }
 
