--- a/packages/base/include/celeryquay/base/settings.h
+++ b/packages/base/include/celeryquay/base/settings.h
@@ -35,10 +35,13 @@
 		  char **out, struct err *err);
 bool settings_int(struct settings *s, const char *key, int64_t min, int64_t max,
 		  int64_t fallback, int64_t *out, struct err *err);
-/* A count up to a million. */
 /* A number that may have a fraction, from 0 on; cut to a whole one. */
 bool settings_amount(struct settings *s, const char *key, unsigned fallback,
 		     unsigned *out, struct err *err);
+/* A number from 0 on that may have a fraction; required. */
+bool settings_rate(struct settings *s, const char *key, double *out,
+		   struct err *err);
+/* A count up to a million. */
 bool settings_count(struct settings *s, const char *key, int64_t fallback,
 		    unsigned *out, struct err *err);
 /* Milliseconds up to a day, given as microseconds. */
--- a/packages/base/src/settings.c
+++ b/packages/base/src/settings.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #define DAY_MS (INT64_C(24) * 3600 * 1000)
+#define RATE_MAX 1e9
 #define COUNT_MAX 1000000
 #define DEPTH_MAX 32
 
@@ -269,6 +270,23 @@
 	return true;
 }
 
+/* Of something that may be 0, or less than one in a second. */
+bool settings_rate(struct settings *s, const char *key, double *out,
+		   struct err *err)
+{
+	JsonNode *node = lookup(s, key);
+
+	if (!node)
+		return settings_fail(s, key, err, "missing");
+	if (!holds(node, G_TYPE_INT64) && !holds(node, G_TYPE_DOUBLE))
+		return settings_fail(s, key, err, "a number is wanted");
+	*out = json_node_get_double(node);
+	if (*out >= 0 && *out <= RATE_MAX)
+		return true;
+	return settings_fail(s, key, err, "%g is not from 0 to %g", *out,
+			     RATE_MAX);
+}
+
 /* Platforms write milliseconds, and the clocks count microseconds. */
 bool settings_ms_as_us(struct settings *s, const char *key, int64_t min,
 		       int64_t fallback, uint64_t *us, struct err *err)
@@ -288,8 +306,11 @@
 		   void *ctx, struct err *err)
 {
 	unsigned i, n = settings_list_length(s, key);
+	JsonNode *node = lookup(s, key);
 	bool ok = true;
 
+	if (node && !JSON_NODE_HOLDS_ARRAY(node))
+		return settings_fail(s, key, err, "a list is wanted");
 	for (i = 0; ok && i < n; i++) {
 		struct settings *item = settings_list_child(s, key, i, err);
 
--- a/packages/daemon/src/relay_node.c
+++ b/packages/daemon/src/relay_node.c
@@ -1,6 +1,7 @@
 #define LOG_MODULE "relay-node"
 #include "relay_node.h"
 
+#include <celeryquay/base/clock.h>
 #include <celeryquay/base/log.h>
 #include <celeryquay/base/log_event.h>
 #include <celeryquay/base/version.h>
@@ -8,7 +9,6 @@
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
-#include <time.h>
 #include <unistd.h>
 
 /* A stop ends at the latest this long after drain_us. */
@@ -71,16 +71,16 @@
 	return n->zone;
 }
 
-/*
- * Microseconds since the VM started. The monotonic clock stands still while a
- * VM is suspended, and a node that woke would rely on what has run out.
- */
+/* What all that the relay is told is timed by. */
 uint64_t relay_node_now_us(void)
 {
-	struct timespec ts;
+	return clock_boot_us();
+}
 
-	clock_gettime(CLOCK_BOOTTIME, &ts);
-	return (uint64_t)ts.tv_sec * USEC_PER_SEC + (uint64_t)ts.tv_nsec / 1000;
+/* The relay's settings, which a driver may add to until it is created. */
+struct relay_settings *relay_node_settings(struct relay_node *n)
+{
+	return &n->settings;
 }
 
 static void on_tick(uv_timer_t *timer);
--- a/packages/daemon/src/relay_node.h
+++ b/packages/daemon/src/relay_node.h
@@ -40,6 +40,8 @@
 struct counter_set *relay_node_counters(struct relay_node *n);
 const char *relay_node_name(const struct relay_node *n);
 const char *relay_node_zone(const struct relay_node *n);
+/* What a driver knows of them; before the relay is created. */
+struct relay_settings *relay_node_settings(struct relay_node *n);
 /* Microseconds of the boot-time clock. */
 uint64_t relay_node_now_us(void);
 /* A driver calls it after each event that it passed to the relay. */
--- a/packages/relay/include/celeryquay/relay/catalog.h
+++ b/packages/relay/include/celeryquay/relay/catalog.h
@@ -24,6 +24,15 @@
 	uint64_t aim_us; /* of a whole operation */
 	uint64_t max_age_us;
 	unsigned priority; /* 0 is the highest */
+	bool is_public; /* callers need no key */
+};
+
+/* A client account: what its operations may be. */
+struct relay_account {
+	char *name;
+	double rate_per_s; /* operations, at all proxies together */
+	double burst; /* of these at once */
+	unsigned priority; /* 0 is the highest */
 };
 
 struct relay_service_conf {
@@ -44,6 +53,16 @@
 void relay_catalog_add_service(struct relay_catalog *c,
 			       const struct relay_service_conf *service);
 
+/* Copies it; false: the name is there already, and nothing is added. */
+bool relay_catalog_add_account(struct relay_catalog *c,
+			       const struct relay_account *account);
+/*
+ * A key of an account that was added. False: it is empty, or it is another
+ * account's, too, and from now on nobody's.
+ */
+bool relay_catalog_add_key(struct relay_catalog *c, const char *key,
+			   const char *account);
+
 uint64_t relay_catalog_version(const struct relay_catalog *c);
 uint64_t relay_catalog_idle_transaction_us(const struct relay_catalog *c);
 /* NULL when the database or service isn't known. */
@@ -51,6 +70,12 @@
 						  const char *database);
 const struct relay_service_conf *relay_catalog_service(
 	const struct relay_catalog *c, const char *name);
+/* NULL when the key or account isn't known. */
+const struct relay_account *relay_catalog_account_of_key(
+	const struct relay_catalog *c, const char *key);
+const struct relay_account *relay_catalog_account(const struct relay_catalog *c,
+						  const char *name);
+unsigned relay_catalog_accounts(const struct relay_catalog *c);
 unsigned relay_catalog_services(const struct relay_catalog *c);
 const struct relay_service_conf *relay_catalog_service_at(
 	const struct relay_catalog *c, unsigned index);
--- a/packages/relay/include/celeryquay/relay/feed_source.h
+++ b/packages/relay/include/celeryquay/relay/feed_source.h
@@ -20,6 +20,11 @@
 void feed_source_on_proxies(struct feed_source *f,
 			    const struct relay_server_info *infos,
 			    unsigned n_infos);
+/*
+ * What is known is to be of less than so long ago, however it is asked for, as
+ * long as the store answers; 0: no matter.
+ */
+void feed_source_keep_young(struct feed_source *f, uint64_t max_age_us);
 /* The next call. */
 struct feed_plan {
 	/* NULL: the store. Valid until the next list. */
--- a/packages/relay/include/celeryquay/relay/relay.h
+++ b/packages/relay/include/celeryquay/relay/relay.h
@@ -46,9 +46,13 @@
 		       const struct relay_answer *answer);
 	/* Close the session's connection once what was answered is out. */
 	void (*hang_up)(void *ctx, uint64_t session);
-	/* Answered by relay_conn_opened() or relay_conn_lost(). */
+	/*
+	 * Answered by relay_conn_opened() or relay_conn_lost(). account: whose
+	 * connection it is, as the server is told; empty: the proxy's own.
+	 */
 	void (*open)(void *ctx, uint64_t conn,
-		     const struct relay_server_info *server);
+		     const struct relay_server_info *server,
+		     const char *account);
 	/* Answered by relay_conn_answer() or relay_conn_lost(). */
 	void (*send)(void *ctx, uint64_t conn,
 		     const struct relay_statement *statement);
@@ -78,6 +82,17 @@
 	uint64_t idle_close_us; /* spare connections */
 	unsigned warm_connections; /* kept open at each server */
 	uint64_t drain_us; /* a stop: transactions may run on this long */
+	bool accounts; /* callers need the key of a client account */
+	/* A key opens nothing that may have been taken away for so long. */
+	uint64_t key_max_age_us; /* 0: no limit */
+	bool limits; /* accounts have limits */
+	/*
+	 * Operations of an account that run in any such window: at most rate x
+	 * window + burst, and beyond that this share of it and so many more.
+	 */
+	uint64_t limit_window_us;
+	double limit_overage;
+	double limit_slack;
 	bool log_statements; /* whether any line is about one */
 	unsigned log_sample; /* of those that went well one in so many */
 };
@@ -92,6 +107,13 @@
 
 /* The platform's side: configuration, servers, the duty record. */
 
+/*
+ * A configuration that can't be read: the one in force goes on, but nobody
+ * knows which keys are good until another comes.
+ */
+void relay_on_catalog_unreadable(struct relay *r);
+/* All that the store had then is known, or was told since. */
+void relay_on_known(struct relay *r, uint64_t known_us);
 /* An older version than the one in force is left aside. Takes a reference. */
 void relay_on_catalog(struct relay *r, struct relay_catalog *catalog,
 		      uint64_t now_us);
@@ -129,16 +151,21 @@
 
 /* Callers' side. The caller of these picks the sessions' numbers. */
 
-/* False: the database isn't known (answer says so) and nothing is kept. */
+/*
+ * key: the caller's; of no account is as good as none. False: the key or the
+ * database isn't known (answer says so) and nothing is kept.
+ */
 bool relay_session_open(struct relay *r, uint64_t session, const char *database,
-			struct relay_answer *answer, uint64_t now_us);
+			const char *key, struct relay_answer *answer,
+			uint64_t now_us);
 /*
  * The same for a session that another proxy lends to its own. It may also send
- * RESET, STATUS and positions that a read must see.
+ * RESET, STATUS and positions that a read must see, and says with each
+ * statement whose it is; its key is ignored.
  */
 bool relay_session_open_peer(struct relay *r, uint64_t session,
-			     const char *database, struct relay_answer *answer,
-			     uint64_t now_us);
+			     const char *database, const char *key,
+			     struct relay_answer *answer, uint64_t now_us);
 /* One at a time: the next only after the answer to the one before. */
 void relay_session_statement(struct relay *r, uint64_t session,
 			     const struct relay_statement *statement,
--- a/packages/relay/include/celeryquay/relay/statement.h
+++ b/packages/relay/include/celeryquay/relay/statement.h
@@ -27,6 +27,8 @@
 	RELAY_PAUSE, /* a replica takes nothing from terms below `term` */
 	RELAY_RESUME,
 	RELAY_STEP_DOWN, /* a primary below `term` becomes a replica */
+	/* Between proxies: tokens of the account `name`, as many as `text`. */
+	RELAY_TAKE,
 };
 
 struct relay_statement {
@@ -38,6 +40,7 @@
 	uint64_t term; /* PAUSE, STEP_DOWN */
 	/* Between proxies: it is refused unless a server is found in that. */
 	uint64_t wait_us; /* 0: nothing was said */
+	struct str account; /* whose it is; empty: nothing was said */
 };
 
 enum relay_code {
@@ -57,6 +60,7 @@
 	RELAY_NO_STATEMENT,
 	RELAY_NO_DATABASE,
 	RELAY_MALFORMED,
+	RELAY_UNAUTHORIZED, /* the key is of no account */
 	RELAY_OTHER, /* a code that the relay has no rule for */
 	RELAY_CODES,
 };
--- /dev/null
+++ b/packages/relay/src/account.c
@@ -0,0 +1,97 @@
+/*
+ * Client accounts: whose a caller's operations are, and whether its key is
+ * still good.
+ */
+#define LOG_MODULE "account"
+#include "relay_internal.h"
+
+#include <string.h>
+
+/* How long ago all was known that says which keys are good. */
+uint64_t rac_age_us(const struct relay *r, uint64_t now_us)
+{
+	if (r->unreadable || !r->known_us)
+		return NEVER_US;
+	return now_us - MIN(r->known_us, now_us);
+}
+
+/*
+ * Failure: a key is taken away while this proxy is cut off, stands still or
+ * hears of old news, and its holder goes on as if nothing had happened. It
+ * shows as operations that run long after the operators had closed the account.
+ * Guard: the age counts from the sending of the question whose answer was
+ * current, and the clock is read after the operation. So an operation that runs
+ * was sent less than key_max_age_us after a moment at which its key was good.
+ */
+bool rac_is_stale(const struct relay *r, uint64_t now_us)
+{
+	const struct relay_settings *set = &r->settings;
+
+	return set->accounts && r->guards.check_key_age &&
+	       set->key_max_age_us &&
+	       rac_age_us(r, now_us) > set->key_max_age_us;
+}
+
+static bool needs_key(const struct rsession *s)
+{
+	const struct relay_profile *profile =
+		relay_catalog_profile(s->relay->catalog, s->database);
+
+	return !profile || !profile->is_public;
+}
+
+/* A transaction stays whose it was; false: it can't be this account's. */
+static bool take_account(struct rsession *s, const char *name)
+{
+	if (!strcmp(s->account, name))
+		return true;
+	if (s->state != 'I' || s->conn)
+		return false;
+	g_free(s->account);
+	s->account = g_strdup(name);
+	return true;
+}
+
+/* Another proxy has checked the key, and says whose it is. */
+static enum relay_code check_peer(const struct rsession *s, const char **why)
+{
+	if (*s->account || !needs_key(s))
+		return RELAY_OK;
+	*why = "no account was named";
+	return RELAY_MALFORMED;
+}
+
+/* Whether the session's key is good now; anything but OK says why not. */
+enum relay_code rac_check(struct rsession *s, uint64_t now_us, const char **why)
+{
+	const struct relay *r = s->relay;
+	const struct relay_account *a;
+
+	if (!r->settings.accounts || !r->guards.check_keys)
+		return RELAY_OK;
+	if (s->peer)
+		return check_peer(s, why);
+	a = relay_catalog_account_of_key(r->catalog, s->key);
+	if (!a && needs_key(s) && !rac_is_stale(r, now_us)) {
+		*why = "the key is not known";
+		return RELAY_UNAUTHORIZED;
+	}
+	if (needs_key(s) && rac_is_stale(r, now_us)) {
+		*why = "it is not known which keys are good; come back in 1 s";
+		return RELAY_BUSY;
+	}
+	if (!take_account(s, a ? a->name : "")) {
+		*why = "the key is another account's now";
+		return RELAY_UNAUTHORIZED;
+	}
+	return RELAY_OK;
+}
+
+/* How urgent the session's account is; 0 is the highest. */
+unsigned rac_priority(const struct rsession *s)
+{
+	const struct relay_account *a =
+		relay_catalog_account(s->relay->catalog, s->account);
+
+	return a ? a->priority : 0;
+}
--- a/packages/relay/src/catalog.c
+++ b/packages/relay/src/catalog.c
@@ -2,6 +2,8 @@
 #include <celeryquay/relay/catalog.h>
 
 #include <glib.h>
+#include <string.h>
+#include <xxhash.h>
 
 struct relay_catalog {
 	unsigned refs;
@@ -10,8 +12,29 @@
 	GHashTable *profiles; /* database -> struct relay_profile */
 	GHashTable *services; /* name -> struct relay_service_conf */
 	GPtrArray *service_list;
+	GHashTable *accounts; /* name -> struct relay_account */
+	/* key -> struct relay_account; NULL: of more than one */
+	GHashTable *keys;
 };
 
+/* Keys are chosen outside: nobody is to find many that collide. */
+static guint hash_key(gconstpointer key)
+{
+	static uint64_t seed;
+
+	if (!seed)
+		seed = (uint64_t)g_random_int() << 32 | g_random_int() | 1;
+	return (guint)XXH3_64bits_withSeed(key, strlen(key), seed);
+}
+
+static void account_free(gpointer data)
+{
+	struct relay_account *a = data;
+
+	g_free(a->name);
+	g_free(a);
+}
+
 static void profile_free(gpointer data)
 {
 	struct relay_profile *p = data;
@@ -42,6 +65,9 @@
 					    profile_free);
 	c->services = g_hash_table_new(g_str_hash, g_str_equal);
 	c->service_list = g_ptr_array_new_with_free_func(service_free);
+	c->accounts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					    account_free);
+	c->keys = g_hash_table_new_full(hash_key, g_str_equal, g_free, NULL);
 	return c;
 }
 
@@ -57,6 +83,8 @@
 {
 	if (!c || --c->refs)
 		return;
+	g_hash_table_destroy(c->keys);
+	g_hash_table_destroy(c->accounts);
 	g_hash_table_destroy(c->profiles);
 	g_hash_table_destroy(c->services);
 	g_ptr_array_free(c->service_list, TRUE);
@@ -88,6 +116,61 @@
 	g_ptr_array_add(c->service_list, copy);
 }
 
+/* Copies an account; a name that is there already is left as it is. */
+bool relay_catalog_add_account(struct relay_catalog *c,
+			       const struct relay_account *account)
+{
+	struct relay_account *copy;
+
+	if (g_hash_table_contains(c->accounts, account->name))
+		return false;
+	copy = g_memdup2(account, sizeof(*account));
+	copy->name = g_strdup(account->name);
+	g_hash_table_insert(c->accounts, copy->name, copy);
+	return true;
+}
+
+/*
+ * Failure: two accounts are given the same key, and whoever holds it acts for
+ * the one that comes last. Guard: such a key opens nothing.
+ */
+bool relay_catalog_add_key(struct relay_catalog *c, const char *key,
+			   const char *account)
+{
+	struct relay_account *a = g_hash_table_lookup(c->accounts, account);
+	gpointer before;
+
+	if (!*key || !a)
+		return false;
+	if (g_hash_table_lookup_extended(c->keys, key, NULL, &before) &&
+	    before != a) {
+		g_hash_table_insert(c->keys, g_strdup(key), NULL);
+		return false;
+	}
+	g_hash_table_insert(c->keys, g_strdup(key), a);
+	return true;
+}
+
+/* Whose key it is, NULL when it is nobody's. */
+const struct relay_account *relay_catalog_account_of_key(
+	const struct relay_catalog *c, const char *key)
+{
+	return g_hash_table_lookup(c->keys, key);
+}
+
+/* An account by its name, NULL when there is none. */
+const struct relay_account *relay_catalog_account(const struct relay_catalog *c,
+						  const char *name)
+{
+	return g_hash_table_lookup(c->accounts, name);
+}
+
+/* How many accounts there are. */
+unsigned relay_catalog_accounts(const struct relay_catalog *c)
+{
+	return g_hash_table_size(c->accounts);
+}
+
 /* The operators' number of this configuration. */
 uint64_t relay_catalog_version(const struct relay_catalog *c)
 {
--- a/packages/relay/src/code.c
+++ b/packages/relay/src/code.c
@@ -35,6 +35,9 @@
 	[RELAY_MALFORMED] = { "MALFORMED",
 			      "it can't be run in the session's state", 2012,
 			      RELAY_OUTCOME_NOT_RUN },
+	[RELAY_UNAUTHORIZED] = { "UNAUTHORIZED",
+				 "the key is of no client account", 2014,
+				 RELAY_OUTCOME_NOT_RUN },
 	[RELAY_OTHER] = { "OTHER", "the server gave a code that is not known",
 			  2013, RELAY_OUTCOME_FAILED },
 };
--- a/packages/relay/src/conn.c
+++ b/packages/relay/src/conn.c
@@ -8,6 +8,8 @@
 
 #include <celeryquay/base/log.h>
 
+#include <string.h>
+
 #define REFUSED_US (150 * USEC_PER_MSEC)
 /* A home that lacks this configuration gets it within seconds. */
 #define UNKNOWN_DATABASE_US (500 * USEC_PER_MSEC)
@@ -20,14 +22,15 @@
 #define UNCLAIMED_US (150 * USEC_PER_MSEC) /* a dropped answer is awaited */
 #define SPARE_CLOSE_US (600 * USEC_PER_MSEC) /* when few are free */
 
-/* Starts to open a connection. */
-struct rconn *rcn_open(struct rserver *s, uint64_t now_us)
+/* Starts to open a connection of an account, or the proxy's own. */
+struct rconn *rcn_open(struct rserver *s, const char *account, uint64_t now_us)
 {
 	struct rconn *c = g_new0(struct rconn, 1);
 
 	c->id = ++s->relay->next_conn;
 	c->relay = s->relay;
 	c->server = s;
+	c->account = g_strdup(account);
 	c->state = RCONN_OPENING;
 	c->sent_us = now_us;
 	c->deadline_us = NEVER_US;
@@ -37,10 +40,10 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	c->link.data = c;
 	s->n_conns++;
-	s->n_opening++;
+	g_queue_push_tail_link(&s->opening, &c->link);
 	g_hash_table_insert(s->relay->conns, &c->id, c);
 	counter_add(s->relay->n_opened, 1);
-	s->relay->ops->open(s->relay->ctx, c->id, &s->info);
+	s->relay->ops->open(s->relay->ctx, c->id, &s->info, c->account);
 	return c;
 }
 
@@ -53,6 +56,7 @@
 	g_hash_table_destroy(c->prepared);
 	g_free(c->step_key);
 	g_free(c->step_value);
+	g_free(c->account);
 	g_free(c);
 }
 
@@ -65,11 +69,12 @@
 		s->probing = NULL;
 	s->n_conns--;
 	if (c->state == RCONN_OPENING)
-		s->n_opening--;
+		g_queue_unlink(&s->opening, &c->link);
 	if (c->state == RCONN_IDLE)
 		g_queue_unlink(&s->idle, &c->link);
 	if (c->step != STEP_NONE)
 		s->n_busy--;
+	rlm_forget(c);
 	if (c->state == RCONN_LENT && c->step == STEP_CALLER)
 		s->in_flight--;
 	if (c->session)
@@ -121,16 +126,58 @@
 	return g_hash_table_size(s->values) - n_same + (n - n_same);
 }
 
+/*
+ * Whose connection the session needs there. Between proxies a connection
+ * carries all accounts' statements, each with its name.
+ */
+const char *rcn_account(const struct rserver *s, const struct rsession *session)
+{
+	if (s->service->peers || !s->relay->guards.own_connections)
+		return "";
+	return session->account;
+}
+
+static bool is_of(const struct rconn *c, const char *account)
+{
+	return !strcmp(c->account, account);
+}
+
+static bool has_one_of(const GQueue *conns, const char *account)
+{
+	GList *l;
+
+	for (l = conns->head; l; l = l->next)
+		if (is_of(l->data, account))
+			return true;
+	return false;
+}
+
+/* Whether an idle connection of the account is there. */
+bool rcn_has_idle(const struct rserver *s, const char *account)
+{
+	return has_one_of(&s->idle, account);
+}
+
+/* Whether one of the account is being opened. */
+bool rcn_is_opening(const struct rserver *s, const char *account)
+{
+	return has_one_of(&s->opening, account);
+}
+
 /* The idle connection that needs the least to serve the session, or NULL. */
 struct rconn *rcn_take(struct rserver *s, const struct rsession *session)
 {
+	const char *account = rcn_account(s, session);
 	struct rconn *best = NULL;
 	unsigned least = 0;
 	GList *l;
 
 	for (l = s->idle.head; l; l = l->next) {
-		unsigned n = differences(l->data, session);
+		unsigned n;
 
+		if (!is_of(l->data, account))
+			continue;
+		n = differences(l->data, session);
 		if (best && n >= least)
 			continue;
 		best = l->data;
@@ -163,6 +210,20 @@
 	return s->n_conns < FEW_CONNS + s->n_stuck || there * 2 < limit;
 }
 
+/*
+ * Where no more connections may be opened, one account's is closed for
+ * another's: the one that was not used for longest. False: there is none.
+ */
+bool rcn_make_room(struct rserver *s, bool close, uint64_t now_us)
+{
+	if (!s->relay->settings.accounts || s->service->peers ||
+	    !s->idle.length || !rsv_is_up(s) || now_us < s->refused_until_us)
+		return false;
+	if (close)
+		rcn_close(g_queue_peek_tail(&s->idle));
+	return true;
+}
+
 /* The session has it from now on. */
 void rcn_lend(struct rconn *c, struct rsession *session)
 {
@@ -253,10 +314,10 @@
 void rcn_tick(struct rserver *s, uint64_t now_us)
 {
 	close_spare(s, now_us);
-	if (rcn_is_ours(s) && rsv_takes_work(s, now_us) && !s->n_opening &&
+	if (rcn_is_ours(s) && rsv_takes_work(s, now_us) && !s->opening.length &&
 	    s->n_conns < s->relay->settings.warm_connections &&
 	    rcn_may_open(s, now_us))
-		rcn_open(s, now_us);
+		rcn_open(s, "", now_us);
 }
 
 /*
@@ -303,6 +364,7 @@
 	if (s->probing == c)
 		rsv_failed(s, false, silent_since_us(c));
 	rsv_probe_soon(s);
+	rlm_on_lost(c, now_us);
 	rcn_close(c);
 	rsv_conn_broke(s, now_us);
 	if (session)
@@ -410,10 +472,11 @@
 	c->opened_us = now_us;
 	rsv_conn_opened(s, now_us);
 	rsv_heard(s, answer, c->sent_us, now_us);
-	s->n_opening--;
+	g_queue_unlink(&s->opening, &c->link);
 	c->state = RCONN_LENT;
 	rcn_give_back(c, now_us);
 	rsv_tick(s, now_us);
+	rlm_serve_all(r, now_us);
 	rrun_dispatch(r, now_us);
 }
 
@@ -460,6 +523,8 @@
 	rsv_heard(s, answer, sent_us, now_us);
 	if (step == STEP_STATUS || step == STEP_ORDER)
 		rsv_probe_answered(c, answer, now_us);
+	else if (step == STEP_TAKE)
+		rlm_on_answer(c, answer, now_us);
 	else
 		rrun_on_answer(c, step, answer, now_us);
 	rrun_dispatch(r, now_us);
@@ -488,11 +553,13 @@
 	else
 		s->open_after_us = now_us;
 	rsv_probe_soon(s);
+	rlm_on_lost(c, now_us);
 	forget(c);
 	if (!opening)
 		rsv_conn_broke(s, now_us);
 	if (session)
 		rrun_on_lost(session, s, false, now_us);
 	rsv_tick(s, now_us);
+	rlm_serve_all(r, now_us);
 	rrun_dispatch(r, now_us);
 }
--- a/packages/relay/src/feed_source.c
+++ b/packages/relay/src/feed_source.c
@@ -28,7 +28,9 @@
  * that a silent connection hides is found with the next one.
  */
 #define WATCH_MS 3400
-#define WATCH_TIMEOUT_US (3800 * USEC_PER_MSEC)
+#define WATCH_SPARE_MS 400 /* for its answer to come */
+/* Of an age limit: what a store tells late, gathering, and two answers. */
+#define YOUNG_MARGIN_US (1800 * USEC_PER_MSEC)
 /* One that others rely on, who take AGE_MAX_US of age. */
 #define WATCHER_MS 800
 #define WATCHER_TIMEOUT_US (1200 * USEC_PER_MSEC)
@@ -93,6 +95,7 @@
 	unsigned n_questions;
 	unsigned n_behind; /* answers that were, of watchers in a silence */
 	uint64_t away_until_us; /* from the preferred one, after it */
+	unsigned watch_ms; /* of a watch that nobody else relies on */
 	unsigned mbps; /* its own, as it is listed */
 	bool is_shared; /* a few watch the store for the others */
 	bool is_watcher;
@@ -111,6 +114,7 @@
 {
 	struct feed_source *f = g_new0(struct feed_source, 1);
 
+	f->watch_ms = WATCH_MS;
 	f->name = g_strdup(name);
 	f->zone = g_strdup(zone);
 	f->proxies = g_ptr_array_new_with_free_func(free_info);
@@ -133,6 +137,18 @@
 	g_free(f);
 }
 
+/*
+ * A watch without news says what was known when it was sent, less what a store
+ * may be late to tell; and it is as old as two waits before the next one ends.
+ */
+void feed_source_keep_young(struct feed_source *f, uint64_t max_age_us)
+{
+	uint64_t waits_us = max_age_us - MIN(max_age_us, YOUNG_MARGIN_US);
+	uint64_t wait_ms = MAX(waits_us / 2 / USEC_PER_MSEC, WATCHER_MS);
+
+	f->watch_ms = max_age_us ? (unsigned)MIN(wait_ms, WATCH_MS) : WATCH_MS;
+}
+
 static uint64_t draw(const char *name)
 {
 	return XXH3_64bits(name, strlen(name));
@@ -332,8 +348,10 @@
 	if (f->is_shared)
 		return (struct feed_plan){ .wait_ms = WATCHER_MS,
 					   .timeout_us = WATCHER_TIMEOUT_US };
-	return (struct feed_plan){ .wait_ms = WATCH_MS,
-				   .timeout_us = WATCH_TIMEOUT_US };
+	return (struct feed_plan){
+		.wait_ms = f->watch_ms,
+		.timeout_us = (f->watch_ms + WATCH_SPARE_MS) * USEC_PER_MSEC
+	};
 }
 
 static struct feed_plan plan(struct feed_source *f, bool reads_all,
--- a/packages/relay/src/pick.c
+++ b/packages/relay/src/pick.c
@@ -43,18 +43,24 @@
  * that may run it have idle connections and cost a few ms more. Guard: what it
  * has waited so far is what waiting costs, so it soon goes elsewhere.
  */
-static uint64_t wait_cost_us(const struct rserver *s, const struct rrun *run,
-			     uint64_t now_us)
+static uint64_t wait_cost_us(const struct rserver *s,
+			     const struct rsession *session, uint64_t now_us)
 {
-	if (s->idle.length)
+	const struct rrun *run = &session->run;
+
+	if (rcn_has_idle(s, rcn_account(s, session)))
 		return 0;
 	return OPEN_COST_US + (now_us - MIN(run->arrived_us, now_us));
 }
 
-static bool can_lend(const struct rserver *s, uint64_t now_us)
+static bool can_lend(struct rserver *s, const struct rsession *session,
+		     uint64_t now_us)
 {
+	const char *account = rcn_account(s, session);
+
 	return !rcl_is_full(s) &&
-	       (s->idle.length || s->n_opening || rcn_may_open(s, now_us));
+	       (rcn_has_idle(s, account) || rcn_is_opening(s, account) ||
+		rcn_may_open(s, now_us) || rcn_make_room(s, false, now_us));
 }
 
 /* Why the primary may not run anything now; NULL: it may. */
@@ -135,14 +141,14 @@
 
 /* Makes the server the best one if it costs the run the least so far. */
 void rpk_consider(struct rserver *s, struct rserver **best, uint64_t *least,
-		  const struct rrun *run, uint64_t now_us)
+		  const struct rsession *session, uint64_t now_us)
 {
 	uint64_t cost;
 
-	if (!can_lend(s, now_us))
+	if (!can_lend(s, session, now_us))
 		return;
-	cost = cost_us(s, now_us) + wait_cost_us(s, run, now_us) +
-	       failures(run, s) * USEC_PER_SEC;
+	cost = cost_us(s, now_us) + wait_cost_us(s, session, now_us) +
+	       failures(&session->run, s) * USEC_PER_SEC;
 	if (*best && cost >= *least)
 		return;
 	*best = s;
@@ -169,7 +175,7 @@
 								now_us);
 
 		if (ok)
-			rpk_consider(server, &best, &least, &s->run, now_us);
+			rpk_consider(server, &best, &least, s, now_us);
 	}
 	return best;
 }
@@ -178,12 +184,15 @@
 void rpk_take_conn(struct rsession *s, struct rpick *out, uint64_t now_us)
 {
 	struct rserver *server = out->server;
+	const char *account = rcn_account(server, s);
 
 	if (rcl_is_full(server))
 		return;
 	out->conn = rcn_take(server, s);
-	if (!out->conn && !server->n_opening && rcn_may_open(server, now_us))
-		rcn_open(server, now_us);
+	if (out->conn || rcn_is_opening(server, account))
+		return;
+	if (rcn_may_open(server, now_us) || rcn_make_room(server, true, now_us))
+		rcn_open(server, account, now_us);
 }
 
 /* Since when the primary is wanted in vain; a long rest counts for nothing. */
@@ -260,12 +269,12 @@
 	return s->status.role == ROLE_REPLICA ? "replica" : "unknown";
 }
 
-static void log_server(const struct rserver *s, const char *blocker,
-		       struct log_line *l, uint64_t now_us)
+static void log_server(struct rserver *s, const struct rsession *session,
+		       const char *blocker, struct log_line *l, uint64_t now_us)
 {
 	if (!blocker && rcl_is_full(s))
 		blocker = "at-limit";
-	if (!blocker && !can_lend(s, now_us))
+	if (!blocker && !can_lend(s, session, now_us))
 		blocker = "no-connection";
 	log_object(l, NULL);
 	log_cstr(l, "server", s->info.id);
@@ -292,19 +301,20 @@
 	log_object_end(l);
 }
 
-static void log_homes(const struct rservice *via, struct log_line *l,
+static void log_homes(const struct rservice *via,
+		      const struct rsession *session, struct log_line *l,
 		      uint64_t now_us)
 {
 	unsigned i;
 
 	log_list(l, "homes");
 	for (i = 0; i < via->servers->len; i++) {
-		const struct rserver *s = rservice_server(via, i);
+		struct rserver *s = rservice_server(via, i);
 		const char *blocker = !s->listed    ? "not-listed" :
 				      !rsv_is_up(s) ? "down" :
 						      NULL;
 
-		log_server(s, blocker, l, now_us);
+		log_server(s, session, blocker, l, now_us);
 	}
 	log_list_end(l);
 }
@@ -335,14 +345,14 @@
 	unsigned i;
 
 	if (via && !s->peer)
-		log_homes(via, l, now_us);
+		log_homes(via, s, l, now_us);
 	if (!v->is_home && !s->peer)
 		return;
 	log_list(l, "servers");
 	for (i = 0; i < v->servers->len; i++) {
-		const struct rserver *server = rservice_server(v, i);
+		struct rserver *server = rservice_server(v, i);
 
-		log_server(server,
+		log_server(server, s,
 			   blocker_of(s, server, has_floor ? &floor : NULL,
 				      now_us),
 			   l, now_us);
--- a/packages/relay/src/relay.c
+++ b/packages/relay/src/relay.c
@@ -57,6 +57,8 @@
 			 "statements to servers that no caller sent");
 	r->n_opened = count(set, "celeryquay_relay_connections_opened_total",
 			    "connections to servers");
+	r->n_limited = count(set, "celeryquay_relay_limited_total",
+			     "operations refused for their account's limit");
 	r->n_lost = count(set, "celeryquay_relay_connections_lost_total",
 			  "connections to servers that broke or fell silent");
 }
@@ -88,8 +90,12 @@
 					    rss_destroy);
 	r->peers = rpr_table();
 	r->feed_source = feed_source_create(r->name, r->zone);
+	if (settings->accounts)
+		feed_source_keep_young(r->feed_source,
+				       settings->key_max_age_us);
 	r->via = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 				       rservice_destroy);
+	rlm_init(r);
 	g_queue_init(&r->waiting);
 	retry_budget_init(&r->retries, RETRY_EARN, RETRY_MAX);
 	create_counters(r, counters);
@@ -119,6 +125,7 @@
 	g_hash_table_destroy(r->conns);
 	g_hash_table_destroy(r->services);
 	g_hash_table_destroy(r->via);
+	rlm_clear(r);
 	g_hash_table_destroy(r->servers);
 	g_ptr_array_free(r->peers, TRUE);
 	feed_source_destroy(r->feed_source);
@@ -179,13 +186,31 @@
 		return;
 	}
 	log_config("config", r, catalog);
+	r->unreadable = false;
 	relay_catalog_unref(r->catalog);
 	r->catalog = relay_catalog_ref(catalog);
 	configure_services(r);
 	rpr_on_catalog(r, now_us);
+	rlm_on_catalog(r, now_us);
 	rrun_dispatch(r, now_us);
 }
 
+/*
+ * Failure: a configuration takes keys away, and its entry can't be read; who
+ * goes on by the one before serves them. Guard: it counts as unknown which keys
+ * are good.
+ */
+void relay_on_catalog_unreadable(struct relay *r)
+{
+	r->unreadable = true;
+}
+
+/* What was known then may be of later, but not of earlier. */
+void relay_on_known(struct relay *r, uint64_t known_us)
+{
+	r->known_us = MAX(r->known_us, known_us);
+}
+
 /*
  * Whether this process claimed it: an earlier one of this name may have, too.
  * News of a claim may come before its answer.
@@ -343,6 +368,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		rch_tick(value, now_us);
 	tick_sessions(r, now_us);
+	rlm_tick(r, now_us);
 	rrun_dispatch(r, now_us);
 }
 
@@ -379,7 +405,7 @@
 	gpointer value;
 
 	if (!r->catalog || !r->listed || r->stopping ||
-	    rvi_is_isolated(r, r->ticked_us) ||
+	    rac_is_stale(r, r->ticked_us) || rvi_is_isolated(r, r->ticked_us) ||
 	    rco_is_any_cut_off(r, r->ticked_us))
 		return false;
 	g_hash_table_iter_init(&iter, r->servers);
@@ -454,5 +480,14 @@
 		write_service(value, out, now_us);
 		comma = ",";
 	}
-	g_string_append(out, "]}");
+	g_string_append(out, "]");
+	if (r->settings.accounts) {
+		g_string_append_printf(
+			out, ",\"accounts\":%u,\"keys_good\":%s,\"limits\":[",
+			r->catalog ? relay_catalog_accounts(r->catalog) : 0,
+			rac_is_stale(r, now_us) ? "false" : "true");
+		rlm_write_status(r, out);
+		g_string_append(out, "]");
+	}
+	g_string_append(out, "}");
 }
--- a/packages/relay/src/relay_internal.h
+++ b/packages/relay/src/relay_internal.h
@@ -9,8 +9,8 @@
  * fence of that, rdt_ the duty record, rtd_ what changes leave
  * behind, rco_
  * network partitions, rpr_ other proxies, rvi_ homes that sessions go through,
- * rol_ servers that fail in part, rcl_ limits of what is in flight at a server,
- * rlg_ log lines, rmt_ metrics.
+ * rac_ client accounts, rlm_ their limits, rol_ servers that fail in part, rcl_
+ * limits of what is in flight at a server, rlg_ log lines, rmt_ metrics.
  */
 
 #include <celeryquay/base/log_event.h>
@@ -30,6 +30,12 @@
 struct rservice;
 struct rserver;
 struct rsession;
+struct rlimit;
+
+/* What a proxy that asks for tokens names in place of a database. */
+#define RELAY_LIMITS "*limits"
+/* Of an account; with one gone, the others still give most of its rate. */
+#define LIMIT_GRANTORS 4
 
 #define RUN_TRIES 6
 
@@ -44,6 +50,7 @@
 	STEP_ROLLBACK,
 	STEP_STATUS,
 	STEP_ORDER,
+	STEP_TAKE, /* tokens of an account's limit */
 };
 
 enum rconn_state { RCONN_OPENING, RCONN_IDLE, RCONN_LENT };
@@ -53,9 +60,11 @@
 	struct relay *relay;
 	struct rserver *server;
 	enum rconn_state state;
+	char *account; /* whose it is; empty: the proxy's own */
 	bool in_block; /* a transaction is open on it, or may be */
 	struct rsession *session; /* lent to; NULL: its caller is gone */
 	enum rstep step;
+	struct rlimit *ask; /* whose tokens are asked for, or NULL */
 	char *step_key; /* the name being set, or what is being prepared */
 	char *step_value; /* its value, or its name at the server */
 	uint64_t opened_us;
@@ -65,7 +74,7 @@
 	GHashTable *values; /* name -> value, as the server has them */
 	GHashTable *prepared; /* kind and shape -> name at the server */
 	unsigned n_names; /* given out since the last reset */
-	GList link; /* in the server's idle connections */
+	GList link; /* in the server's idle or opening connections */
 };
 
 /* What a server's failures cost of late. */
@@ -103,8 +112,8 @@
 
 	struct rconn *probing; /* carries a status or an order now */
 	GQueue idle;
+	GQueue opening;
 	unsigned n_conns; /* opening ones included */
-	unsigned n_opening;
 	unsigned in_flight; /* callers' statements */
 	unsigned n_busy; /* connections that wait for an answer */
 	unsigned n_stuck; /* of these, answers that are probably lost */
@@ -118,6 +127,7 @@
 	struct relay_status status;
 	uint64_t status_us; /* start of the probe that gave it, 0: none */
 	uint64_t heard_us;
+	uint64_t asked_us; /* a grantor: for tokens */
 	uint64_t broke_us; /* a connection broke then, 0: all is known */
 	uint64_t doubted_us; /* it may know of no pause since, 0: no; word.c */
 	bool doubted_as_new; /* since it was listed, not for a restart */
@@ -206,6 +216,7 @@
 
 enum rrun_state {
 	RRUN_NONE,
+	RRUN_LIMITED, /* for a token of its account; limit.c */
 	RRUN_WAITING, /* for a server and a connection */
 	RRUN_RUNNING,
 	RRUN_PAUSED, /* the server was busy; sent again soon */
@@ -230,6 +241,7 @@
 	GString *text;
 	bool writes;
 	unsigned priority; /* 0 is the highest */
+	unsigned account_priority; /* the same, among those of one priority */
 	GString *begin_id; /* of the BEGIN that no server has seen yet */
 	bool begins; /* opens the transaction at the server, too */
 	bool sent; /* the caller's statement is out, or may be */
@@ -238,6 +250,7 @@
 	uint64_t deadline_us; /* the profile's timeout */
 	uint64_t due_us; /* its arrival and its profile's aim */
 	uint64_t give_up_us; /* it is refused unless a server was found */
+	uint64_t token_by_us; /* it is refused unless it has one by then */
 	uint64_t again_us; /* when paused */
 	uint64_t answered_us;
 	struct rserver *failed_by[RUN_TRIES]; /* those that did not run it */
@@ -264,6 +277,8 @@
 	uint64_t id;
 	struct relay *relay;
 	char *database;
+	char *key; /* never told to anybody */
+	char *account; /* whose it is; empty: the database needs none */
 	char state; /* as its caller sees it */
 	GHashTable *values; /* name -> value */
 	GHashTable *prepared; /* name -> struct rprepared */
@@ -272,6 +287,7 @@
 	struct rconn *conn;
 	bool read_only; /* the open transaction */
 	bool wrote; /* the same */
+	bool limited; /* the same; it has its token */
 	uint64_t used_us;
 	bool hung_up;
 	bool peer; /* another proxy's */
@@ -299,11 +315,16 @@
 	bool doubt_newcomers; /* who was just listed may know of no change */
 	bool check_list_age; /* a word may count here alone */
 	bool leave_when_cut_off; /* callers go to proxies that can serve */
+	bool own_connections; /* a connection is of one account */
+	bool check_keys; /* with each operation */
+	bool check_key_age; /* a key may have been taken away */
+	bool limit_accounts; /* each operation takes a token */
 };
 
 struct relay {
 	struct relay_settings settings;
 	struct relay_guards guards;
+	unsigned members_changed; /* how often */
 	char *name;
 	char *zone;
 	const struct relay_ops *ops;
@@ -322,6 +343,13 @@
 		*via; /* database -> struct rservice whose servers are homes */
 	uint64_t next_conn;
 	GQueue waiting; /* struct rrun by arrival */
+	GHashTable *limits; /* account -> struct rlimit */
+	GHashTable *limits_active; /* those that have something to do */
+	GHashTable *members; /* proxies that may grant; limit.c */
+	struct rservice *grantors; /* proxies that are asked for tokens */
+	uint64_t limits_us; /* they were looked after then */
+	uint64_t known_us; /* all that the store had then is known */
+	bool unreadable; /* a configuration that could not be read came */
 	uint64_t store_heard_us; /* the store's last answer */
 	uint64_t known_revision; /* what the store had then was told */
 	bool store_lost; /* it has not answered since */
@@ -356,6 +384,7 @@
 	struct counter *n_own;
 	struct counter *n_opened;
 	struct counter *n_lost;
+	struct counter *n_limited;
 	struct rmetrics *metrics;
 };
 
@@ -404,7 +433,7 @@
 struct rserver *rservice_server(const struct rservice *v, unsigned index);
 
 /* conn.c */
-struct rconn *rcn_open(struct rserver *s, uint64_t now_us);
+struct rconn *rcn_open(struct rserver *s, const char *account, uint64_t now_us);
 void rcn_free(gpointer conn);
 void rcn_close(struct rconn *c);
 void rcn_send(struct rconn *c, enum rstep step,
@@ -412,6 +441,11 @@
 	      uint64_t now_us);
 struct rconn *rcn_take(struct rserver *s, const struct rsession *session);
 bool rcn_may_open(const struct rserver *s, uint64_t now_us);
+const char *rcn_account(const struct rserver *s,
+			const struct rsession *session);
+bool rcn_has_idle(const struct rserver *s, const char *account);
+bool rcn_is_opening(const struct rserver *s, const char *account);
+bool rcn_make_room(struct rserver *s, bool close, uint64_t now_us);
 void rcn_lend(struct rconn *c, struct rsession *session);
 void rcn_give_back(struct rconn *c, uint64_t now_us);
 void rcn_roll_back(struct rconn *c, struct str id, uint64_t now_us);
@@ -422,7 +456,8 @@
 void rcn_expire(struct relay *r, uint64_t now_us);
 
 /* session.c */
-struct rsession *rss_create(struct relay *r, uint64_t id, const char *database);
+struct rsession *rss_create(struct relay *r, uint64_t id, const char *database,
+			    const char *key);
 void rss_destroy(gpointer session);
 void rss_tick(struct rsession *s, uint64_t now_us);
 void rss_end_if_stopping(struct rsession *s, uint64_t now_us);
@@ -432,7 +467,36 @@
 /* The transaction is over without a commit; its connection is cleaned. */
 void rss_abort(struct rsession *s, uint64_t now_us);
 
+/* account.c */
+enum relay_code rac_check(struct rsession *s, uint64_t now_us,
+			  const char **why);
+uint64_t rac_age_us(const struct relay *r, uint64_t now_us);
+bool rac_is_stale(const struct relay *r, uint64_t now_us);
+unsigned rac_priority(const struct rsession *s);
+
+/* limit.c */
+void rlm_init(struct relay *r);
+void rlm_clear(struct relay *r);
+void rlm_on_peers(struct relay *r, const struct relay_server_info *infos,
+		  unsigned n_infos, uint64_t now_us);
+void rlm_on_catalog(struct relay *r, uint64_t now_us);
+void rlm_on_asked(struct rsession *s, const struct relay_statement *st,
+		  uint64_t now_us);
+void rlm_on_answer(struct rconn *c, const struct relay_answer *answer,
+		   uint64_t now_us);
+void rlm_on_lost(struct rconn *c, uint64_t now_us);
+void rlm_forget(struct rconn *c);
+void rlm_serve_all(struct relay *r, uint64_t now_us);
+bool rlm_applies(const struct rsession *s);
+void rlm_take(struct rsession *s, uint64_t now_us);
+void rlm_drop(struct rsession *s);
+void rlm_give_up(struct rsession *s, uint64_t now_us);
+void rlm_tick(struct relay *r, uint64_t now_us);
+void rlm_write_status(const struct relay *r, GString *out);
+
 /* run.c */
+void rrun_begin(struct rsession *s, uint64_t now_us);
+void rrun_refuse_limited(struct rsession *s, const char *text, uint64_t now_us);
 void rrun_start(struct rsession *s, const struct relay_statement *statement,
 		bool writes, uint64_t now_us);
 void rrun_note(struct rsession *s, const struct relay_statement *statement,
@@ -461,7 +525,7 @@
 };
 void rpk_choose(struct rsession *s, struct rpick *out, uint64_t now_us);
 void rpk_consider(struct rserver *s, struct rserver **best, uint64_t *least,
-		  const struct rrun *run, uint64_t now_us);
+		  const struct rsession *session, uint64_t now_us);
 void rpk_take_conn(struct rsession *s, struct rpick *out, uint64_t now_us);
 /* Since when the primary is wanted in vain; a long rest counts for nothing. */
 void rpk_note_primary_use(struct rservice *v, uint64_t wanted_us,
@@ -477,6 +541,11 @@
 void rpr_tick(struct relay *r, uint64_t now_us);
 
 /* via.c */
+const struct relay_server_info *rvi_find_peer(const struct relay *r,
+					      const char *name);
+struct rserver *rvi_list_home(struct rservice *via,
+			      const struct relay_server_info *p,
+			      uint64_t now_us);
 void rvi_list_all(struct relay *r, uint64_t now_us);
 void rvi_tick(struct relay *r, uint64_t now_us);
 bool rvi_may_help(const struct rsession *s, const struct rservice *v,
--- a/packages/relay/src/rlog.c
+++ b/packages/relay/src/rlog.c
@@ -93,6 +93,8 @@
 	log_u64(l, "session", s->id);
 	log_bool(l, "from_proxy", s->peer);
 	log_cstr(l, "database", s->database);
+	if (r->settings.accounts)
+		log_cstr(l, "account", s->account);
 	log_u64(l, "config", relay_catalog_version(r->catalog));
 	if (!profile)
 		return;
@@ -144,6 +146,8 @@
 static void put_ages(struct log_line *l, const struct relay *r, uint64_t now_us)
 {
 	log_u64(l, "store_ms", ms_since(r->store_heard_us, now_us));
+	if (r->settings.accounts)
+		log_u64(l, "keys_ms", ms(rac_age_us(r, now_us)));
 	log_bool(l, "store_up", !r->store_lost);
 	log_u64(l, "waiting", r->waiting.length);
 }
--- a/packages/relay/src/run.c
+++ b/packages/relay/src/run.c
@@ -11,6 +11,8 @@
 
 #define TRY_PAUSE_US (8 * USEC_PER_MSEC)
 #define QUEUE_TIMEOUT_SHARE 4 /* of a profile's aim */
+/* The same for a token: its limit would meet a caller that comes back, too. */
+#define TOKEN_WAIT_SHARE 2
 /* What another proxy uses of it when it was not told. */
 #define PEER_SHARE_NUM 3
 #define PEER_SHARE_DEN 4
@@ -226,6 +228,8 @@
 {
 	if (a->priority != b->priority)
 		return a->priority < b->priority;
+	if (a->account_priority != b->account_priority)
+		return a->account_priority < b->account_priority;
 	return a->due_us < b->due_us;
 }
 
@@ -324,12 +328,14 @@
 	run->to_primary = profile->kind == RELAY_KIND_PRIMARY || writes ||
 			  (in_transaction(s) && !s->read_only);
 	run->priority = profile->priority;
+	run->account_priority = rac_priority(s);
 	run->deadline_us = now_us + profile->timeout_us;
 	run->due_us = now_us + profile->aim_us;
 	run->give_up_us = now_us + queue_timeout_us(profile, s->peer);
 	if (statement->wait_us)
 		run->give_up_us =
 			now_us + MIN(statement->wait_us, profile->timeout_us);
+	run->token_by_us = now_us + profile->aim_us / TOKEN_WAIT_SHARE;
 	run->again_us = 0;
 	run->code = RELAY_BUSY;
 	run->after = (struct position){ 0 };
@@ -340,10 +346,28 @@
 		return;
 	}
 	retry_budget_first_try(&s->relay->retries);
+	if (rlm_applies(s))
+		rlm_take(s, now_us);
+	else
+		rrun_begin(s, now_us);
+}
+
+/* The run may begin; a transaction has its token for all of its statements. */
+void rrun_begin(struct rsession *s, uint64_t now_us)
+{
+	s->limited = in_transaction(s);
+	/* Its time for a server begins now. */
+	s->run.give_up_us += now_us - s->run.arrived_us;
 	wait_turn(s);
 	try_start(s, now_us);
 }
 
+/* Its account has no token for it; nothing has seen it. */
+void rrun_refuse_limited(struct rsession *s, const char *text, uint64_t now_us)
+{
+	fail(s, RELAY_BUSY, text, now_us);
+}
+
 /* Starts what waits, in the order of arrival, as far as it can. */
 void rrun_dispatch(struct relay *r, uint64_t now_us)
 {
@@ -583,6 +607,10 @@
 	struct rrun *run = &s->run;
 
 	switch (run->state) {
+	case RRUN_LIMITED:
+		if (now_us >= run->token_by_us)
+			rlm_give_up(s, now_us);
+		break;
 	case RRUN_WAITING:
 		if (now_us >= run->give_up_us)
 			refuse(s, now_us);
--- a/packages/relay/src/server.c
+++ b/packages/relay/src/server.c
@@ -51,6 +51,7 @@
 	s->latency_us = LATENCY_FIRST_US;
 	s->lag_us = NEVER_US;
 	g_queue_init(&s->idle);
+	g_queue_init(&s->opening);
 	return s;
 }
 
@@ -103,7 +104,7 @@
  */
 void rsv_conn_opened(struct rserver *s, uint64_t now_us)
 {
-	bool is_only_one = s->n_conns == s->n_opening &&
+	bool is_only_one = s->n_conns == s->opening.length &&
 			   s->relay->guards.doubt_newcomers;
 
 	if (s->broke_us || is_only_one)
@@ -371,7 +372,7 @@
 
 static bool may_open_for_probe(const struct rserver *s, uint64_t now_us)
 {
-	if (s->n_opening || now_us < s->open_after_us)
+	if (s->opening.length || now_us < s->open_after_us)
 		return false;
 	if (s->service->peers && !s->listed)
 		return false; /* nobody replaces it, so nobody must know */
@@ -398,7 +399,7 @@
 		send_probe(s, c, now_us);
 	} else if (may_open_for_probe(s, now_us)) {
 		s->open_after_us = now_us + REOPEN_US;
-		rcn_open(s, now_us);
+		rcn_open(s, "", now_us);
 	}
 }
 
--- a/packages/relay/src/session.c
+++ b/packages/relay/src/session.c
@@ -7,6 +7,8 @@
 
 #include <celeryquay/base/log.h>
 
+#include <string.h>
+
 #define REST_US (100 * USEC_PER_MSEC)
 /* The balancer has gone by two answers, a second apart, that it isn't ready. */
 #define RED_FOR_US (3 * USEC_PER_SEC)
@@ -21,13 +23,16 @@
 }
 
 /* A session without values, outside a transaction. */
-struct rsession *rss_create(struct relay *r, uint64_t id, const char *database)
+struct rsession *rss_create(struct relay *r, uint64_t id, const char *database,
+			    const char *key)
 {
 	struct rsession *s = g_new0(struct rsession, 1);
 
 	s->id = id;
 	s->relay = r;
 	s->database = g_strdup(database);
+	s->key = g_strdup(key);
+	s->account = g_strdup("");
 	s->state = 'I';
 	s->values =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -59,6 +64,8 @@
 	g_hash_table_destroy(s->values);
 	g_hash_table_destroy(s->prepared);
 	g_free(s->database);
+	g_free(s->key);
+	g_free(s->account);
 	g_free(s);
 }
 
@@ -137,6 +144,7 @@
 	s->state = 'T';
 	s->read_only = st->verb == RELAY_BEGIN_READ;
 	s->wrote = false;
+	s->limited = false;
 	rss_answer(s, RELAY_OK, "-");
 }
 
@@ -229,44 +237,62 @@
 	log_event_end(l);
 }
 
-static bool open_session(struct relay *r, uint64_t session, bool peer,
-			 const char *database, struct relay_answer *answer,
-			 uint64_t now_us)
+/* The key goes first, so that a stranger learns no database's name. */
+static enum relay_code check_session(struct rsession *s, const char **why,
+				     uint64_t now_us)
 {
-	struct rsession *s;
+	struct relay *r = s->relay;
+	enum relay_code code;
 
-	*answer = (struct relay_answer){ .state = 'I' };
 	if (!r->catalog) {
-		answer->code = RELAY_BUSY;
-		answer->text = STR("no configuration yet");
-	} else if (!relay_catalog_profile(r->catalog, database)) {
-		answer->code = RELAY_NO_DATABASE;
-		answer->text = STR("no such database");
+		*why = "no configuration yet";
+		return RELAY_BUSY;
 	}
+	code = s->peer ? RELAY_OK : rac_check(s, now_us, why);
+	if (code != RELAY_OK)
+		return code;
+	if (relay_catalog_profile(r->catalog, s->database) ||
+	    (s->peer && !strcmp(s->database, RELAY_LIMITS)))
+		return RELAY_OK;
+	*why = "no such database";
+	return RELAY_NO_DATABASE;
+}
+
+static bool open_session(struct relay *r, uint64_t session, bool peer,
+			 const char *database, const char *key,
+			 struct relay_answer *answer, uint64_t now_us)
+{
+	struct rsession *s = rss_create(r, session, database, key);
+	const char *why = "";
+
+	s->used_us = now_us;
+	s->peer = peer;
+	*answer = (struct relay_answer){ .state = 'I' };
+	answer->code = check_session(s, &why, now_us);
 	if (answer->code != RELAY_OK) {
+		answer->text = str_from_c(why);
 		log_refused_session(r, session, database, answer);
+		rss_destroy(s);
 		return false;
 	}
-	s = rss_create(r, session, database);
-	s->used_us = now_us;
-	s->peer = peer;
 	g_hash_table_insert(r->sessions, &s->id, s);
 	return true;
 }
 
 /* A caller came. The database's name is looked up with each transaction. */
 bool relay_session_open(struct relay *r, uint64_t session, const char *database,
-			struct relay_answer *answer, uint64_t now_us)
+			const char *key, struct relay_answer *answer,
+			uint64_t now_us)
 {
-	return open_session(r, session, false, database, answer, now_us);
+	return open_session(r, session, false, database, key, answer, now_us);
 }
 
 /* Another proxy came, for its sessions. */
 bool relay_session_open_peer(struct relay *r, uint64_t session,
-			     const char *database, struct relay_answer *answer,
-			     uint64_t now_us)
+			     const char *database, const char *key,
+			     struct relay_answer *answer, uint64_t now_us)
 {
-	return open_session(r, session, true, database, answer, now_us);
+	return open_session(r, session, true, database, key, answer, now_us);
 }
 
 /*
@@ -280,6 +306,8 @@
 	if (s->state == 'I') {
 		s->floor = st->after;
 		s->floor_us = s->used_us;
+		g_free(s->account);
+		s->account = str_dup(st->account);
 	}
 	return true;
 }
@@ -291,6 +319,36 @@
 	rss_answer(s, RELAY_OK, "-");
 }
 
+static bool needs_server(enum relay_verb verb)
+{
+	return verb == RELAY_BEGIN || verb == RELAY_BEGIN_READ ||
+	       verb == RELAY_READ || verb == RELAY_WRITE ||
+	       verb == RELAY_EXECUTE || verb == RELAY_COMMIT;
+}
+
+/*
+ * Whether the statement's account may go on. A transaction whose key was taken
+ * away is rolled back, which its caller is told in place of an answer.
+ */
+static bool is_allowed(struct rsession *s, const struct relay_statement *st,
+		       uint64_t now_us)
+{
+	const char *why = "";
+	enum relay_code code = RELAY_OK;
+
+	if (s->state != 'E' && needs_server(st->verb))
+		code = rac_check(s, now_us, &why);
+	if (code == RELAY_OK)
+		return true;
+	if (s->state == 'T') {
+		rss_abort(s, now_us);
+		s->state = st->verb == RELAY_COMMIT ? 'I' : 'E';
+		code = RELAY_ABORTED;
+	}
+	rss_answer(s, code, why);
+	return false;
+}
+
 /* A caller's statement; its answer comes now or later. */
 void relay_session_statement(struct relay *r, uint64_t session,
 			     const struct relay_statement *statement,
@@ -305,8 +363,12 @@
 	rrun_note(s, statement, now_us);
 	if (!take_peer_part(s, statement))
 		rss_answer(s, RELAY_MALFORMED, "not a caller's statement");
+	else if (!is_allowed(s, statement, now_us))
+		return;
 	else if (s->peer && statement->verb == RELAY_RESET)
 		run_reset(s);
+	else if (s->peer && statement->verb == RELAY_TAKE)
+		rlm_on_asked(s, statement, now_us);
 	else if (s->peer && statement->verb == RELAY_STATUS)
 		rss_answer(s, RELAY_OK, "-");
 	else if (statement->verb == RELAY_COMMIT)
@@ -333,6 +395,8 @@
 		rlg_session(s, "caller-left", "its connection ended", now_us);
 	if (s->run.state == RRUN_WAITING)
 		g_queue_unlink(&r->waiting, &s->run.link);
+	if (s->run.state == RRUN_LIMITED)
+		rlm_drop(s);
 	rss_abort(s, now_us);
 	g_hash_table_remove(r->sessions, &session);
 	rrun_dispatch(r, now_us);
--- a/packages/relay/src/steps.c
+++ b/packages/relay/src/steps.c
@@ -125,6 +125,13 @@
 		       1;
 }
 
+/* Only other proxies are told; a connection to a server has its own. */
+static struct str account_at(const struct rconn *c)
+{
+	return c->server->service->peers ? str_from_c(c->session->account) :
+					   STR("");
+}
+
 static bool send_begin(struct rconn *c, uint64_t now_us)
 {
 	struct rsession *s = c->session;
@@ -136,6 +143,7 @@
 		st.verb = RELAY_BEGIN_READ;
 	st.after = s->run.after;
 	st.wait_us = wait_at_us(c, &s->run, now_us);
+	st.account = account_at(c);
 	/* Another try of it is the relay's own. */
 	st.id = str_from_gstring(s->run.begin_id);
 	c->in_block = true;
@@ -164,6 +172,7 @@
 	if (s->state == 'I' && !run->writes)
 		st.after = run->after;
 	st.wait_us = wait_at_us(c, run, now_us);
+	st.account = account_at(c);
 	run->sent = true;
 	rcn_send(c, STEP_CALLER, &st, time_left_us(run, now_us), now_us);
 }
--- a/packages/relay/src/via.c
+++ b/packages/relay/src/via.c
@@ -28,8 +28,9 @@
 #define MIND_US (200 * USEC_PER_MSEC)
 #define WANTED_US (3 * USEC_PER_SEC) /* a database was asked for */
 
-static const struct relay_server_info *find_peer(const struct relay *r,
-						 const char *name)
+/* Another proxy by its name, NULL when it isn't listed. */
+const struct relay_server_info *rvi_find_peer(const struct relay *r,
+					      const char *name)
 {
 	unsigned i;
 
@@ -66,7 +67,7 @@
 
 	for (i = 0; i < names->len; i++) {
 		const struct relay_server_info *p =
-			find_peer(v->relay, g_ptr_array_index(names, i));
+			rvi_find_peer(v->relay, g_ptr_array_index(names, i));
 
 		for (j = 0; p && j < via->servers->len; j++) {
 			const struct rserver *s = rservice_server(via, j);
@@ -81,8 +82,10 @@
 	return best;
 }
 
-static void list_home(struct rservice *via, const struct relay_server_info *p,
-		      uint64_t now_us)
+/* A proxy as a server of the database, made when it isn't there. */
+struct rserver *rvi_list_home(struct rservice *via,
+			      const struct relay_server_info *p,
+			      uint64_t now_us)
 {
 	struct relay *r = via->relay;
 	struct relay_server_info info = *p;
@@ -93,11 +96,12 @@
 	if (s) {
 		rsv_update(s, &info, now_us);
 		g_free(key);
-		return;
+		return s;
 	}
 	s = rsv_create(via, &info, now_us);
 	g_hash_table_insert(r->servers, key, s);
 	g_ptr_array_add(via->servers, s);
+	return s;
 }
 
 static void unlist_homes(struct rservice *via, uint64_t now_us)
@@ -123,7 +127,7 @@
 
 		if (!p)
 			break;
-		list_home(via, p, now_us);
+		rvi_list_home(via, p, now_us);
 	}
 	via->homes_changed = v->homes_changed;
 }
@@ -202,7 +206,7 @@
 	if (!p && !is_reached(via))
 		p = next_of(v->spares, v, via);
 	if (p)
-		list_home(via, p, now_us);
+		rvi_list_home(via, p, now_us);
 }
 
 /* Notes since when no home of a database can serve, as far as is known. */
@@ -388,7 +392,7 @@
 		struct rserver *server = rservice_server(via, i);
 
 		if (server->listed && rsv_is_up(server))
-			rpk_consider(server, &best, &least, &s->run, now_us);
+			rpk_consider(server, &best, &least, s, now_us);
 	}
 	if (!best)
 		return;
--- /dev/null
+++ b/packages/relay/tests/support_accounts.c
@@ -0,0 +1,109 @@
+/*
+ * The fake's client accounts: each has one key, which the operators take away
+ * and give back, and a limit. The store tells of it in answers to questions
+ * that each relay sends now and then.
+ */
+#include "support_history.h"
+
+#define ASK_EVERY_US (300 * MS)
+
+/* What the store said, on its way. */
+struct answer {
+	unsigned relay;
+	unsigned life; /* of its process */
+	struct relay_catalog *catalog;
+	uint64_t asked_us;
+};
+
+static void answer_free(gpointer data)
+{
+	struct answer *a = data;
+
+	relay_catalog_unref(a->catalog);
+	g_free(a);
+}
+
+/* The account's name; free it. */
+char *accounts_name(unsigned account)
+{
+	return g_strdup_printf("account%u", account);
+}
+
+/* Its key; free it. */
+char *accounts_key(unsigned account)
+{
+	return g_strdup_printf("secret%u", account);
+}
+
+/* As an operator has them on the platform's sheet. */
+void accounts_settings(struct relay_settings *settings)
+{
+	settings->accounts = settings->limits = true;
+	settings->key_max_age_us = FAKE_KEY_AGE_US;
+	settings->limit_window_us = FAKE_WINDOW_US;
+	settings->limit_overage = FAKE_OVERAGE;
+	settings->limit_slack = FAKE_SLACK;
+}
+
+/* The accounts as the configuration has them now. */
+void accounts_add(const struct fake *f, struct relay_catalog *c)
+{
+	unsigned i;
+
+	for (i = 0; i < FAKE_ACCOUNTS; i++) {
+		struct relay_account a = { .name = accounts_name(i),
+					   .rate_per_s = FAKE_RATE,
+					   .burst = FAKE_BURST };
+		char *key = accounts_key(i);
+
+		relay_catalog_add_account(c, &a);
+		if (!f->key_gone_us[i])
+			relay_catalog_add_key(c, key, a.name);
+		g_free(key);
+		g_free(a.name);
+	}
+}
+
+static void answer_event(struct fake *f, void *data)
+{
+	const struct answer *a = data;
+	struct fake_relay *r = &f->relays[a->relay];
+
+	if (a->life != r->life)
+		return;
+	relay_on_catalog(r->relay, a->catalog, f->now_us);
+	relay_on_known(r->relay, a->asked_us);
+}
+
+/* One that the store doesn't answer asks on. */
+static void ask_event(struct fake *f, void *data)
+{
+	struct fake_relay *r = data;
+	struct answer *a;
+
+	fake_at(f, -1, ASK_EVERY_US, ask_event, r, NULL);
+	if (r->deaf)
+		return;
+	a = g_new0(struct answer, 1);
+	a->relay = r->index;
+	a->life = r->life;
+	a->catalog = fake_catalog(f);
+	a->asked_us = f->now_us;
+	fake_at(f, (int)r->index, fake_random(f, 2 * MS, 200 * MS),
+		answer_event, a, answer_free);
+}
+
+/* The relays begin to ask. */
+void accounts_start(struct fake *f)
+{
+	unsigned i;
+
+	for (i = 0; i < f->n_relays; i++)
+		fake_at(f, -1, i * MS, ask_event, &f->relays[i], NULL);
+}
+
+void fake_take_key(struct fake *f, unsigned account, bool take)
+{
+	f->key_gone_us[account] = take ? f->now_us : 0;
+	f->config_version++;
+}
--- a/packages/relay/tests/support_group.c
+++ b/packages/relay/tests/support_group.c
@@ -12,7 +12,7 @@
 	uint64_t key;
 	struct relay_statement st;
 	struct relay_answer answer;
-	char *words[3];
+	char *words[4];
 	enum { M_OPENED, M_ANSWER, M_LOST, M_REFUSED } kind;
 };
 
@@ -76,6 +76,7 @@
 	if (c->open && c->server)
 		c->server->n_conns--;
 	g_free(c->database);
+	g_free(c->account);
 	g_hash_table_destroy(c->values);
 	g_hash_table_destroy(c->prepared);
 	g_free(c);
@@ -389,7 +390,7 @@
 	else
 		c->open = relay_session_open_peer(c->peer->relay,
 						  PEER_SESSION | c->key,
-						  c->database, &m->answer,
+						  c->database, "", &m->answer,
 						  f->now_us);
 	if (!c->open)
 		drop_later(f, c, 0);
@@ -435,7 +436,8 @@
 }
 
 /* Starts a connection; the server answers, refuses or stays silent. */
-void fake_open(void *ctx, uint64_t conn, const struct relay_server_info *info)
+void fake_open(void *ctx, uint64_t conn, const struct relay_server_info *info,
+	       const char *account)
 {
 	struct fake_relay *r = ctx;
 	struct fake_conn *c = g_new0(struct fake_conn, 1);
@@ -448,6 +450,7 @@
 		if (!strcmp(r->fake->relays[i].name, info->id))
 			c->peer = &r->fake->relays[i];
 	c->database = g_strdup(info->service);
+	c->account = g_strdup(account);
 	c->key = key_of(r->index, conn);
 	c->serial = ++r->fake->n_serials;
 	c->relay = r->index;
@@ -479,6 +482,7 @@
 	m->st.id = keep(m, 0, st->id);
 	m->st.name = keep(m, 1, st->name);
 	m->st.text = keep(m, 2, st->text);
+	m->st.account = keep(m, 3, st->account);
 	delay_us = arrival_us(r->fake, c, 0, way_us(r->fake));
 	if (c->peer && st->id.len)
 		hist_passed_on(r->fake, c, st->id);
--- a/packages/relay/tests/support_group.h
+++ b/packages/relay/tests/support_group.h
@@ -15,6 +15,7 @@
 #define MAX_GROUPS 2
 #define GROUP_SIZE 3 /* at the start */
 #define MAX_NEWCOMERS 40 /* of one history */
+#define FAKE_ACCOUNTS 3
 #define MAX_SERVERS (MAX_GROUPS * GROUP_SIZE + MAX_NEWCOMERS)
 
 struct hist;
@@ -77,6 +78,7 @@
 	struct fake_server *server; /* NULL: a relay is */
 	struct fake_relay *peer; /* whose session it is */
 	char *database;
+	char *account; /* whose it is, as the server was told */
 	bool open;
 	bool broken; /* nothing comes through any more, for good */
 	uint64_t last_us[2]; /* the newest arrival at server and relay */
@@ -134,6 +136,10 @@
 	uint64_t revision; /* the store's: of lists and of the duty record */
 	uint64_t duty_revision;
 	char duty_holder[8];
+	bool accounts; /* callers have keys; support_accounts.c */
+	uint64_t config_version;
+	uint64_t key_gone_us[FAKE_ACCOUNTS]; /* taken away then, 0: it is good
+					      */
 	struct hist *hist;
 };
 
@@ -142,9 +148,21 @@
 #define PEER_SESSION ((uint64_t)1 << 60) /* and the connection's key */
 #define FAKE_AIM_US (200 * MS)
 #define FAKE_AGE_US (300 * MS) /* of bounded reads */
+#define FAKE_KEY_AGE_US (5 * USEC_PER_SEC)
+#define FAKE_RATE 40 /* operations a second of each account */
+#define FAKE_BURST 8
+#define FAKE_WINDOW_US (2 * USEC_PER_SEC)
+#define FAKE_SLACK 8
+#define FAKE_OVERAGE 0.1
+#define FAKE_WINDOW_MOST                                                \
+	((unsigned)((FAKE_RATE * 2 + FAKE_BURST) * (1 + FAKE_OVERAGE) + \
+		    FAKE_SLACK))
 #define FAKE_LIMIT_US (2 * USEC_PER_SEC) /* of a statement */
 
 struct fake *fake_create(uint32_t seed, unsigned n_relays, unsigned n_groups);
+/* The same with client accounts, and proxies that know each other. */
+struct fake *fake_create_accounts(uint32_t seed, unsigned n_relays,
+				  unsigned n_groups);
 void fake_destroy(struct fake *f);
 void fake_run(struct fake *f, uint64_t us);
 bool fake_step(struct fake *f, uint64_t until_us);
@@ -179,10 +197,20 @@
 bool fake_log_has(const struct fake *f, const struct fake_server *s,
 		  unsigned commit);
 
+/* An account's only key is taken away, or given back. */
+void fake_take_key(struct fake *f, unsigned account, bool take);
+
 /* Between the parts of the fake. */
+void accounts_settings(struct relay_settings *settings);
+void accounts_add(const struct fake *f, struct relay_catalog *c);
+void accounts_start(struct fake *f);
+char *accounts_name(unsigned account);
+char *accounts_key(unsigned account);
+struct relay_catalog *fake_catalog(const struct fake *f);
 GTree *fake_events_create(void);
 GHashTable *fake_conns_create(void);
-void fake_open(void *ctx, uint64_t conn, const struct relay_server_info *info);
+void fake_open(void *ctx, uint64_t conn, const struct relay_server_info *info,
+	       const char *account);
 void fake_send(void *ctx, uint64_t conn, const struct relay_statement *st);
 void fake_close(void *ctx, uint64_t conn);
 void fake_answer(void *ctx, uint64_t session, const struct relay_answer *a);
--- a/packages/relay/tests/support_history.c
+++ b/packages/relay/tests/support_history.c
@@ -6,6 +6,12 @@
 #define ANSWER_LIMIT_US (10 * USEC_PER_SEC)
 #define REPORT_MAX 2000
 
+struct operation {
+	unsigned account;
+	uint64_t sent_us;
+	uint64_t ran_us;
+};
+
 struct attempt {
 	unsigned session;
 	unsigned n_commits;
@@ -15,6 +21,7 @@
 	uint64_t acked_us;
 	unsigned conn; /* ran its first statement, with that number */
 	unsigned first;
+	bool ran; /* a server has seen it */
 };
 
 /* A read that lacked a commit; wrong unless a promotion rolled that back. */
@@ -28,6 +35,7 @@
 	GPtrArray *sessions;
 	GPtrArray *statements;
 	GPtrArray *attempts;
+	GArray *operations; /* struct operation */
 	GArray *acked; /* numbers of commits in the order of their answers */
 	GArray *missed;
 	GString *wrong;
@@ -62,6 +70,7 @@
 	h->sessions = g_ptr_array_new_with_free_func(session_free);
 	h->statements = g_ptr_array_new_with_free_func(statement_free);
 	h->attempts = g_ptr_array_new_with_free_func(g_free);
+	h->operations = g_array_new(FALSE, FALSE, sizeof(struct operation));
 	h->acked = g_array_new(FALSE, FALSE, sizeof(unsigned));
 	h->missed = g_array_new(FALSE, FALSE, sizeof(struct missed));
 	h->wrong = g_string_new(NULL);
@@ -74,6 +83,7 @@
 	g_ptr_array_free(h->sessions, TRUE);
 	g_ptr_array_free(h->statements, TRUE);
 	g_ptr_array_free(h->attempts, TRUE);
+	g_array_free(h->operations, TRUE);
 	g_array_free(h->acked, TRUE);
 	g_array_free(h->missed, TRUE);
 	g_string_free(h->wrong, TRUE);
@@ -133,11 +143,13 @@
 	struct hist_session *s = g_new0(struct hist_session, 1);
 	char *database = g_strdup_printf("%s%u", kinds[kind], group);
 	struct relay_answer answer;
+	char *key;
 
 	s->number = f->hist->sessions->len + 1;
 	s->relay = relay;
 	s->group = group;
 	s->kind = kind;
+	s->account = s->number % FAKE_ACCOUNTS;
 	s->open = true;
 	s->state = 'I';
 	s->values =
@@ -145,9 +157,12 @@
 	s->prepared =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g_ptr_array_add(f->hist->sessions, s);
-	if (!relay_session_open(f->relays[relay].relay, s->number, database,
-				&answer, f->now_us))
+	key = f->accounts ? accounts_key(s->account) : g_strdup("");
+	s->open = relay_session_open(f->relays[relay].relay, s->number,
+				     database, key, &answer, f->now_us);
+	if (!s->open && !f->accounts)
 		hist_wrong(f, "%s is not known", database);
+	g_free(key);
 	g_free(database);
 	return s;
 }
@@ -198,6 +213,7 @@
 	}
 	h->attempt = s->attempt;
 	h->since_us = s->begun_us;
+	h->sent_us = f->now_us;
 	h->values = values_text(s->values);
 	h->shape = g_strdup(g_hash_table_lookup(s->prepared, name));
 	h->writes = verb == RELAY_WRITE ||
@@ -421,6 +437,37 @@
 	}
 }
 
+/* The first statement of an operation that runs is what a limit counts. */
+static void note_operation(struct fake *f, const struct hist_session *s,
+			   const struct hist_statement *h)
+{
+	struct attempt *a = attempt_of(f, h->attempt);
+	struct operation o = { s->account, h->sent_us, f->now_us };
+
+	if (a->ran)
+		return;
+	a->ran = true;
+	g_array_append_val(f->hist->operations, o);
+}
+
+static void check_account(struct fake *f, const struct fake_conn *c,
+			  const struct hist_statement *h)
+{
+	const struct hist_session *s =
+		g_ptr_array_index(f->hist->sessions, h->session - 1);
+	uint64_t gone_us = f->key_gone_us[s->account];
+	char *name = accounts_name(s->account);
+
+	if (strcmp(c->account, name))
+		hist_wrong(f, "%u of %s runs on a connection of '%s'",
+			   h->number, name, c->account);
+	if (gone_us && h->sent_us > gone_us + FAKE_KEY_AGE_US)
+		hist_wrong(f, "%u runs %u ms after its key was taken away",
+			   h->number, (unsigned)((h->sent_us - gone_us) / MS));
+	note_operation(f, s, h);
+	g_free(name);
+}
+
 /* A server runs a caller's statement. */
 void hist_ran(struct fake *f, struct fake_conn *c,
 	      const struct hist_statement *h, const struct relay_statement *st)
@@ -437,6 +484,8 @@
 	if (h->verb != st->verb || !str_eq(st->text, str_from_c(h->text)))
 		hist_wrong(f, "%u was changed", h->number);
 	check_transaction(f, c, h);
+	if (f->accounts)
+		check_account(f, c, h);
 	f->n_replica_reads += c->server->role == ROLE_REPLICA;
 	if (needs_server(h) && !h->writes)
 		check_fresh(f, c->server, h);
@@ -462,6 +511,43 @@
 	return f->hist->acked->len;
 }
 
+/* Operations that ran in all. */
+unsigned hist_ran_in_all(const struct fake *f)
+{
+	return f->hist->operations->len;
+}
+
+/* Those of the account that were sent and ran in a window. */
+static unsigned count_window(const struct fake *f, unsigned account,
+			     uint64_t from_us)
+{
+	unsigned i, n = 0;
+
+	for (i = 0; i < f->hist->operations->len; i++) {
+		const struct operation *o = &g_array_index(f->hist->operations,
+							   struct operation, i);
+
+		n += o->account == account && o->sent_us >= from_us &&
+		     o->ran_us < from_us + FAKE_WINDOW_US;
+	}
+	return n;
+}
+
+static void check_limits(struct fake *f)
+{
+	unsigned i;
+
+	for (i = 0; i < f->hist->operations->len; i++) {
+		const struct operation *o = &g_array_index(f->hist->operations,
+							   struct operation, i);
+		unsigned n = count_window(f, o->account, o->sent_us);
+
+		if (n > FAKE_WINDOW_MOST)
+			hist_wrong(f, "%u operations of account %u from %u ms",
+				   n, o->account, (unsigned)(o->sent_us / MS));
+	}
+}
+
 static void check_attempts(struct fake *f)
 {
 	unsigned i;
@@ -492,6 +578,8 @@
 		return f->hist->wrong->str;
 	f->hist->checked = true;
 	check_attempts(f);
+	if (f->accounts)
+		check_limits(f);
 	for (i = 0; i < f->hist->missed->len; i++) {
 		const struct missed *m =
 			&g_array_index(f->hist->missed, struct missed, i);
--- a/packages/relay/tests/support_history.h
+++ b/packages/relay/tests/support_history.h
@@ -18,6 +18,7 @@
 	char *values; /* the session's, as its caller knows them */
 	char *shape; /* of the prepared statement */
 	uint64_t since_us; /* of the statement or its transaction */
+	uint64_t sent_us; /* by its caller */
 	char *name;
 	char *text;
 	bool answered;
@@ -29,6 +30,7 @@
 	unsigned relay;
 	unsigned group;
 	enum relay_kind kind;
+	unsigned account; /* where there are accounts */
 	bool open;
 	char state;
 	GHashTable *values;
@@ -57,6 +59,8 @@
 bool hist_serves(struct fake *f, uint64_t limit_us);
 /* The id of the newest statement, as its caller knows it; free it. */
 char *hist_last_id(const struct fake *f);
+/* Operations that a server ran. */
+unsigned hist_ran_in_all(const struct fake *f);
 unsigned hist_acknowledged(const struct fake *f);
 /* "" or what was wrong so far. */
 const char *hist_check(struct fake *f);
--- a/packages/relay/tests/support_platform.c
+++ b/packages/relay/tests/support_platform.c
@@ -561,10 +561,12 @@
 		tick_event, r, NULL);
 }
 
-static struct relay_catalog *create_catalog(const struct fake *f)
+/* The operators' configuration as it is now. */
+struct relay_catalog *fake_catalog(const struct fake *f)
 {
 	static const char *const kinds[] = { "primary", "bounded", "own" };
-	struct relay_catalog *c = relay_catalog_create(1, 5 * USEC_PER_SEC);
+	struct relay_catalog *c =
+		relay_catalog_create(1 + f->config_version, 5 * USEC_PER_SEC);
 	unsigned i, kind;
 
 	for (i = 0; i < f->n_groups; i++) {
@@ -588,6 +590,8 @@
 		}
 		g_free(name);
 	}
+	if (f->accounts)
+		accounts_add(f, c);
 	return c;
 }
 
@@ -607,6 +611,8 @@
 	relay_settings_default(&settings);
 	settings.name = r->name;
 	settings.zone = "a";
+	if (f->accounts)
+		accounts_settings(&settings);
 	r->relay = relay_create(&settings, &ops, r, r->counters, f->rng,
 				f->now_us);
 	relay_on_catalog(r->relay, catalog, f->now_us);
@@ -676,7 +682,7 @@
 	struct fake_relay *r = &f->relays[relay];
 	struct relay *old = r->relay;
 	struct counter_set *counters = r->counters;
-	struct relay_catalog *catalog = create_catalog(f);
+	struct relay_catalog *catalog = fake_catalog(f);
 
 	end_relay(f, r);
 	r->life++;
@@ -786,7 +792,8 @@
 }
 
 /* Groups at rest, and relays that know of them; the rest follows by itself. */
-struct fake *fake_create(uint32_t seed, unsigned n_relays, unsigned n_groups)
+static struct fake *create(uint32_t seed, unsigned n_relays, unsigned n_groups,
+			   bool accounts)
 {
 	struct fake *f = g_new0(struct fake, 1);
 	struct relay_catalog *catalog;
@@ -796,6 +803,7 @@
 	f->rng = g_rand_new_with_seed(seed);
 	f->n_relays = n_relays;
 	f->n_groups = n_groups;
+	f->accounts = f->homes = accounts;
 	f->max_connections = n_relays > 4 ? 10 : 20;
 	f->promote_us = 1000 * MS;
 	f->events = fake_events_create();
@@ -808,15 +816,28 @@
 			   i % GROUP_SIZE ? ROLE_REPLICA : ROLE_PRIMARY);
 	for (i = 0; i < n_groups; i++)
 		f->top_term[i] = 1;
-	catalog = create_catalog(f);
+	catalog = fake_catalog(f);
 	for (i = 0; i < n_relays; i++)
 		create_relay(f, i, catalog);
 	relay_catalog_unref(catalog);
 	fake_list(f);
 	fake_at(f, -1, 0, stream_event, NULL, NULL);
+	if (accounts)
+		accounts_start(f);
 	return f;
 }
 
+struct fake *fake_create(uint32_t seed, unsigned n_relays, unsigned n_groups)
+{
+	return create(seed, n_relays, n_groups, false);
+}
+
+struct fake *fake_create_accounts(uint32_t seed, unsigned n_relays,
+				  unsigned n_groups)
+{
+	return create(seed, n_relays, n_groups, true);
+}
+
 /* Frees all, the relays too. */
 void fake_destroy(struct fake *f)
 {
--- /dev/null
+++ b/packages/relay/tests/test_accounts.c
@@ -0,0 +1,349 @@
+/*
+ * Client accounts: whose connection a statement runs on, whose key is good, and
+ * how much of an account's operations run.
+ */
+#include "support_history.h"
+
+#include <celeryquay/suite.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define SEEDS 40
+#define GUARD_SEEDS 60
+#define RELAYS 5
+#define GROUPS 2
+#define SESSIONS 24
+#define DAY_US (30 * USEC_PER_SEC)
+
+static void next_event(struct fake *f, void *data);
+
+static void begin_something(struct fake *f, struct hist_session *s)
+{
+	switch (fake_random(f, 0, 8)) {
+	case 0:
+		hist_start(f, s, RELAY_SET, "a", "1");
+		return;
+	case 1:
+		hist_start(f, s, RELAY_BEGIN, "", "");
+		break;
+	case 2:
+		hist_start(f, s, RELAY_BEGIN_READ, "", "");
+		break;
+	case 3:
+	case 4:
+		hist_start(f, s, RELAY_WRITE, "", "1");
+		return;
+	default:
+		hist_start(f, s, RELAY_READ, "", "1");
+		return;
+	}
+	s->left = (unsigned)fake_random(f, 0, 4);
+}
+
+static void go_on(struct fake *f, struct hist_session *s)
+{
+	if (s->state == 'E') {
+		hist_start(f, s, RELAY_ROLLBACK, "", "");
+	} else if (!s->left) {
+		hist_start(f, s, RELAY_COMMIT, "", "");
+	} else {
+		s->left--;
+		hist_start(f, s, RELAY_READ, "", "1");
+	}
+}
+
+static void come_event(struct fake *f, void *data)
+{
+	unsigned relay = GPOINTER_TO_UINT(data);
+	struct hist_session *s =
+		hist_open(f, relay, (unsigned)fake_random(f, 0, GROUPS),
+			  (enum relay_kind)fake_random(f, 0, 3));
+
+	s->next = next_event;
+	fake_at(f, -1, fake_random(f, 1, 100) * MS, next_event, s, NULL);
+}
+
+/* A caller's next step; one that was refused or left comes again. */
+static void next_event(struct fake *f, void *data)
+{
+	struct hist_session *s = data;
+
+	if (s->now)
+		return;
+	if (!s->open || fake_chance(f, 0.01)) {
+		hist_close(f, s);
+		s->next = NULL;
+		fake_at(f, -1, 300 * MS, come_event, GUINT_TO_POINTER(s->relay),
+			NULL);
+	} else if (s->state == 'I') {
+		begin_something(f, s);
+	} else {
+		go_on(f, s);
+	}
+}
+
+static void fault(struct fake *f)
+{
+	unsigned relay = (unsigned)fake_random(f, 0, RELAYS);
+	unsigned account = (unsigned)fake_random(f, 0, FAKE_ACCOUNTS);
+	unsigned i;
+
+	switch (fake_random(f, 0, 7)) {
+	case 0:
+	case 1:
+		fake_take_key(f, account, !f->key_gone_us[account]);
+		break;
+	case 2:
+		fake_store(f, relay, false);
+		break;
+	case 3:
+		fake_freeze(f, relay, fake_random(f, 1, 9) * USEC_PER_SEC);
+		break;
+	case 4:
+		fake_restart_relay(f, relay);
+		break;
+	case 5:
+		for (i = 0; i < RELAYS; i++)
+			f->side[i] = (unsigned)fake_random(f, 0, 2);
+		break;
+	default:
+		fake_crash(f, (unsigned)fake_random(f, 0, GROUPS * GROUP_SIZE));
+		break;
+	}
+}
+
+/* Faults overlap; keys that were taken away stay so for a while. */
+static void day(struct fake *f)
+{
+	uint64_t end_us = f->now_us + DAY_US;
+	unsigned i;
+
+	for (i = 0; i < SESSIONS; i++)
+		come_event(f, GUINT_TO_POINTER(i % RELAYS));
+	while (f->now_us < end_us) {
+		fake_run(f, fake_random(f, 100, 1500) * MS);
+		fault(f);
+		fault(f);
+		fake_run(f, fake_random(f, 2000, 9000) * MS);
+		fake_heal(f);
+		for (i = 0; i < RELAYS; i++)
+			if (fake_chance(f, 0.7))
+				fake_store(f, i, true);
+	}
+}
+
+static unsigned n_seeds(void)
+{
+	const char *value = g_getenv("CQ_SEEDS");
+
+	return value ? (unsigned)strtoul(value, NULL, 10) : SEEDS;
+}
+
+/* No account uses another's connection, a lost key, or more than its limit. */
+START_TEST(days_keep_accounts_apart)
+{
+	unsigned seed, ran = 0;
+
+	for (seed = 1; seed <= n_seeds(); seed++) {
+		struct fake *f = fake_create_accounts(seed, RELAYS, GROUPS);
+
+		fake_run(f, 6 * USEC_PER_SEC);
+		day(f);
+		ck_assert_msg(!*hist_check(f), "seed %u:\n%s", seed,
+			      hist_check(f));
+		ran += hist_ran_in_all(f);
+		fake_destroy(f);
+	}
+	ck_assert_uint_gt(ran, 500 * n_seeds());
+}
+END_TEST
+
+static const size_t guards[] = {
+	offsetof(struct relay_guards, own_connections),
+	offsetof(struct relay_guards, check_keys),
+	offsetof(struct relay_guards, check_key_age),
+	offsetof(struct relay_guards, limit_accounts),
+};
+
+/* Guards against a checker that sees nothing. */
+START_TEST(days_notice_a_missing_guard)
+{
+	bool caught = false;
+	unsigned seed, i;
+
+	for (seed = 1; seed <= GUARD_SEEDS && !caught; seed++) {
+		struct fake *f = fake_create_accounts(seed, RELAYS, GROUPS);
+
+		for (i = 0; i < RELAYS; i++)
+			((bool *)relay_guards_of(
+				f->relays[i].relay))[guards[_i]] = false;
+		fake_run(f, 6 * USEC_PER_SEC);
+		day(f);
+		caught = *hist_check(f);
+		fake_destroy(f);
+	}
+	ck_assert_msg(caught, "guard %d is not missed", _i);
+}
+END_TEST
+
+static enum relay_code open_with(struct fake *f, const char *database,
+				 const char *key)
+{
+	static uint64_t session = 100000;
+	struct relay_answer answer;
+
+	if (relay_session_open(f->relays[0].relay, ++session, database, key,
+			       &answer, f->now_us))
+		return RELAY_OK;
+	return answer.code;
+}
+
+/* Guards against a stranger that learns which databases there are. */
+START_TEST(the_key_is_asked_for_first)
+{
+	struct fake *f = fake_create_accounts(1, 1, 1);
+
+	fake_run(f, USEC_PER_SEC);
+	ck_assert_int_eq(open_with(f, "own0", "secret1"), RELAY_OK);
+	ck_assert_int_eq(open_with(f, "none", "secret1"), RELAY_NO_DATABASE);
+	ck_assert_int_eq(open_with(f, "own0", "other"), RELAY_UNAUTHORIZED);
+	ck_assert_int_eq(open_with(f, "own0", ""), RELAY_UNAUTHORIZED);
+	ck_assert_int_eq(open_with(f, "none", "other"), RELAY_UNAUTHORIZED);
+	fake_destroy(f);
+}
+END_TEST
+
+/* Guards against a configuration that can't be read and opens the door. */
+START_TEST(unreadable_accounts_close_the_door)
+{
+	struct fake *f = fake_create_accounts(1, 1, 1);
+
+	fake_run(f, USEC_PER_SEC);
+	relay_on_catalog_unreadable(f->relays[0].relay);
+	ck_assert_int_eq(open_with(f, "own0", "secret1"), RELAY_BUSY);
+	f->config_version++;
+	fake_run(f, USEC_PER_SEC);
+	ck_assert_int_eq(open_with(f, "own0", "secret1"), RELAY_OK);
+	fake_destroy(f);
+}
+END_TEST
+
+/* Guards against a transaction that goes on, or is kept, without its key. */
+START_TEST(a_transaction_ends_with_its_key)
+{
+	struct fake *f = fake_create_accounts(1, 2, 1);
+	struct hist_session *s;
+
+	fake_run(f, 6 * USEC_PER_SEC);
+	s = hist_open(f, 0, 0, RELAY_KIND_PRIMARY);
+	ck_assert_int_eq(hist_run(f, s, RELAY_BEGIN, "", ""), RELAY_OK);
+	ck_assert_int_eq(hist_run(f, s, RELAY_WRITE, "", "1"), RELAY_OK);
+	fake_take_key(f, s->account, true);
+	fake_run(f, USEC_PER_SEC);
+	ck_assert_int_eq(hist_run(f, s, RELAY_COMMIT, "", ""), RELAY_ABORTED);
+	ck_assert_int_eq(hist_run(f, s, RELAY_WRITE, "", "1"),
+			 RELAY_UNAUTHORIZED);
+	ck_assert_uint_eq(hist_acknowledged(f), 0);
+	ck_assert_str_eq(hist_check(f), "");
+	fake_destroy(f);
+}
+END_TEST
+
+/* Guards against callers who are held to a silent store's old news for ever. */
+START_TEST(keys_are_good_again_with_the_store)
+{
+	struct fake *f = fake_create_accounts(1, 2, 1);
+
+	fake_run(f, 6 * USEC_PER_SEC);
+	fake_store(f, 0, false);
+	fake_run(f, FAKE_KEY_AGE_US + USEC_PER_SEC);
+	ck_assert_int_eq(open_with(f, "own0", "secret1"), RELAY_BUSY);
+	ck_assert(!relay_is_ready(f->relays[0].relay));
+	fake_store(f, 0, true);
+	fake_run(f, USEC_PER_SEC);
+	ck_assert_int_eq(open_with(f, "own0", "secret1"), RELAY_OK);
+	fake_destroy(f);
+}
+END_TEST
+
+static void press_event(struct fake *f, void *data)
+{
+	struct hist_session *s = data;
+
+	if (s->open && !s->now)
+		hist_start(f, s, RELAY_READ, "", "1");
+}
+
+/* Guards against a limit that a share of each proxy makes too small. */
+START_TEST(one_proxy_gets_an_account_its_whole_rate)
+{
+	struct fake *f = fake_create_accounts(1, RELAYS, 1);
+	uint64_t us = 10 * USEC_PER_SEC;
+	struct hist_session *s;
+	unsigned i;
+
+	fake_run(f, 6 * USEC_PER_SEC);
+	for (i = 0; i < 6 * FAKE_ACCOUNTS; i++) {
+		s = hist_open(f, 0, 0, RELAY_KIND_BOUNDED);
+		if (s->account)
+			continue;
+		s->next = press_event;
+		press_event(f, s);
+	}
+	fake_run(f, us);
+	ck_assert_uint_ge(hist_ran_in_all(f),
+			  FAKE_RATE * us / USEC_PER_SEC * 95 / 100);
+	ck_assert_str_eq(hist_check(f), "");
+	fake_destroy(f);
+}
+END_TEST
+
+/* Guards against a key that two accounts have, which opens one of them. */
+START_TEST(a_key_of_two_accounts_is_nobodys)
+{
+	struct relay_catalog *c = relay_catalog_create(1, 0);
+	struct relay_account a = { .name = "a" }, b = { .name = "b" };
+
+	ck_assert(relay_catalog_add_account(c, &a));
+	ck_assert(relay_catalog_add_account(c, &b));
+	ck_assert(!relay_catalog_add_account(c, &a));
+	ck_assert(relay_catalog_add_key(c, "1", "a"));
+	ck_assert(relay_catalog_add_key(c, "1", "a"));
+	ck_assert(!relay_catalog_add_key(c, "1", "b"));
+	ck_assert(!relay_catalog_add_key(c, "1", "a"));
+	ck_assert(!relay_catalog_add_key(c, "", "a"));
+	ck_assert(!relay_catalog_add_key(c, "2", "none"));
+	ck_assert(relay_catalog_add_key(c, "3", "b"));
+	ck_assert(!relay_catalog_account_of_key(c, "1"));
+	ck_assert(!relay_catalog_account_of_key(c, ""));
+	ck_assert_str_eq(relay_catalog_account_of_key(c, "3")->name, "b");
+	relay_catalog_unref(c);
+}
+END_TEST
+
+static GLogWriterOutput no_log(GLogLevelFlags level, const GLogField *fields,
+			       gsize n_fields, gpointer data)
+{
+	(void)level;
+	(void)fields;
+	(void)n_fields;
+	(void)data;
+	return G_LOG_WRITER_HANDLED;
+}
+
+int main(void)
+{
+	TCase *tc = tcase_create("accounts");
+
+	g_log_set_writer_func(no_log, NULL, NULL);
+	tcase_add_test(tc, the_key_is_asked_for_first);
+	tcase_add_test(tc, unreadable_accounts_close_the_door);
+	tcase_add_test(tc, a_transaction_ends_with_its_key);
+	tcase_add_test(tc, keys_are_good_again_with_the_store);
+	tcase_add_test(tc, one_proxy_gets_an_account_its_whole_rate);
+	tcase_add_test(tc, a_key_of_two_accounts_is_nobodys);
+	tcase_add_test(tc, days_keep_accounts_apart);
+	tcase_add_loop_test(tc, days_notice_a_missing_guard, 0,
+			    G_N_ELEMENTS(guards));
+	return suite_main("accounts", tc);
+}
--- a/packages/relay/tests/test_routing.c
+++ b/packages/relay/tests/test_routing.c
@@ -203,7 +203,7 @@
 	ck_assert_uint_eq(server_of(f, "s1")->idle.length, 0);
 	f->servers[1].dark = true;
 	ck_assert_int_eq(hist_run(f, b, RELAY_READ, "", "1"), RELAY_OK);
-	ck_assert_uint_gt(server_of(f, "s1")->n_opening, 0);
+	ck_assert_uint_gt(server_of(f, "s1")->opening.length, 0);
 	end(f);
 }
 END_TEST
--- a/packages/relay/tests/test_sessions.c
+++ b/packages/relay/tests/test_sessions.c
@@ -223,7 +223,7 @@
 {
 	struct relay_answer answer;
 
-	return relay_session_open(f->relays[0].relay, session, database,
+	return relay_session_open(f->relays[0].relay, session, database, "",
 				  &answer, f->now_us);
 }
 
--- a/packages/transport/include/celeryquay/transport/kv_feed.h
+++ b/packages/transport/include/celeryquay/transport/kv_feed.h
@@ -27,6 +27,8 @@
 void kv_feed_settled(struct kv_feed *f, uint64_t at);
 /* The store was heard that long before. */
 void kv_feed_heard(struct kv_feed *f, uint64_t age_us);
+/* All that the store had then is known, by the boot clock. */
+void kv_feed_known(struct kv_feed *f, uint64_t known_us);
 
 /*
  * A call of another proxy: "since=R" for all, where what is not newer than R
--- a/packages/transport/include/celeryquay/transport/kv_follow.h
+++ b/packages/transport/include/celeryquay/transport/kv_follow.h
@@ -20,6 +20,11 @@
 	uint64_t at; /* the store's revision */
 	uint64_t cursor; /* the watch goes on from it; a store's is `at` */
 	uint64_t age_us; /* what another proxy says is so old */
+	/*
+	 * Of another proxy: when all that the store had was known there, after
+	 * the question came (before it, if negative); INT64_MIN: not said.
+	 */
+	int64_t known_us;
 	uint64_t written; /* the revision that a write got */
 	bool more; /* pages follow */
 	bool partial; /* of a proxy: only what is newer than `since` */
@@ -56,7 +61,8 @@
 	unsigned wait_ms;
 	/* It is sent once more after so long without an answer; 0: it isn't. */
 	unsigned repeat_ms;
-	/* Until the answer begins, and between two parts; more than it waits. */
+	/* Until the answer begins, and between two parts; more than it waits.
+	 */
 	uint64_t timeout_us;
 	uint64_t most_us; /* of the whole call, however its answer goes on */
 };
@@ -80,6 +86,10 @@
 	void (*heard)(void *ctx, bool answers, uint64_t took_us);
 	/* An answer of so many bytes can't be read; it is asked for again. */
 	void (*refused)(void *ctx, long status, size_t len);
+	/*
+	 * All that the store had at that time of the boot clock is told.
+	 */
+	void (*known)(void *ctx, uint64_t known_us);
 	/*
 	 * A proxy told of a value that it doesn't send; the store is to be
 	 * asked for it once.
--- a/packages/transport/include/celeryquay/transport/session.h
+++ b/packages/transport/include/celeryquay/transport/session.h
@@ -23,8 +23,8 @@
 	uint64_t (*now_us)(void);
 	void (*wake)(struct relay_node *node); /* after each of the others */
 	bool (*session_open)(struct relay *r, uint64_t session,
-			     const char *database, struct relay_answer *answer,
-			     uint64_t now_us);
+			     const char *database, const char *key,
+			     struct relay_answer *answer, uint64_t now_us);
 	void (*session_statement)(struct relay *r, uint64_t session,
 				  const struct relay_statement *statement,
 				  uint64_t now_us);
@@ -56,7 +56,7 @@
 struct session_front *session_front_create(const struct session_setup *setup,
 					   const char *address,
 					   struct err *err);
-/* name: what servers are told of this proxy. */
+/* name: what servers are told where a connection is of no account. */
 struct session_upstream *session_upstream_create(
 	const struct session_setup *setup, const char *name);
 /* They close every connection without a word to the relay. */
@@ -71,7 +71,8 @@
 			  const struct relay_answer *answer);
 void session_front_hang_up(void *ctx, uint64_t session);
 void session_upstream_open(void *ctx, uint64_t conn,
-			   const struct relay_server_info *server);
+			   const struct relay_server_info *server,
+			   const char *account);
 void session_upstream_send(void *ctx, uint64_t conn,
 			   const struct relay_statement *statement);
 void session_upstream_close(void *ctx, uint64_t conn);
--- a/packages/transport/include/celeryquay/transport/session_codec.h
+++ b/packages/transport/include/celeryquay/transport/session_codec.h
@@ -19,7 +19,8 @@
 
 	/* A caller's messages. */
 	bool (*is_end)(struct str message);
-	bool (*parse_startup)(struct str message, struct str *database);
+	bool (*parse_startup)(struct str message, struct str *database,
+			      struct str *key);
 	/* False: malformed; out->id is set if it has a usable one. */
 	bool (*parse_statement)(struct str message,
 				struct relay_statement *out);
@@ -27,7 +28,7 @@
 	void (*put_opened)(GString *out, const struct relay_answer *answer);
 	void (*put_answer)(GString *out, const struct relay_answer *answer);
 
-	/* A server's; `name` is this proxy's. */
+	/* A server's; `name` is the account's, or this proxy's. */
 	void (*put_startup)(GString *out, struct str service, struct str name,
 			    struct str server);
 	void (*put_statement)(GString *out,
--- a/packages/transport/src/http.c
+++ b/packages/transport/src/http.c
@@ -185,18 +185,19 @@
 static void on_silence(uv_timer_t *timer)
 {
 	struct http *h = timer->data;
-	struct http_call *call;
+	struct http_call *call = find_silent(h);
 
-	while (!h->closing && (call = find_silent(h))) {
-		g_strlcpy(call->why, "the answer does not go on",
-			  sizeof(call->why));
-		curl_multi_remove_handle(h->multi, call->easy);
-		finish(call, CURLE_OPERATION_TIMEDOUT);
-		if (!h->closing)
-			call_free(call);
+	if (!call) {
+		watch_silence(h);
+		return;
 	}
+	/* What it tells may end others: the next one is looked for anew. */
+	uv_timer_start(timer, on_silence, 0, 0);
+	g_strlcpy(call->why, "the answer does not go on", sizeof(call->why));
+	curl_multi_remove_handle(h->multi, call->easy);
+	finish(call, CURLE_OPERATION_TIMEDOUT);
 	if (!h->closing)
-		watch_silence(h);
+		call_free(call);
 }
 
 static void act(struct http *h, curl_socket_t fd, int flags)
--- a/packages/transport/src/kv_feed.c
+++ b/packages/transport/src/kv_feed.c
@@ -1,6 +1,7 @@
 #define LOG_MODULE "kv-feed"
 #include <celeryquay/transport/kv_feed.h>
 
+#include <celeryquay/base/clock.h>
 #include <celeryquay/base/log.h>
 #include <celeryquay/core/types.h>
 
@@ -44,6 +45,7 @@
 	struct kv_feed *feed;
 	struct ready_wait *wait;
 	uint64_t after;
+	uint64_t asked_us; /* of the boot clock */
 	uv_timer_t timer;
 	GList link;
 };
@@ -57,6 +59,7 @@
 	uint64_t epoch;
 	uint64_t at;
 	uint64_t heard_us; /* uv_now() in microseconds */
+	uint64_t known_us; /* all that the store had then is; 0: not said */
 	bool settled; /* everything was read once */
 	size_t value_max; /* larger ones are only named */
 	uint64_t log_at; /* all changes after this revision are kept */
@@ -203,8 +206,15 @@
 	}
 }
 
+/* How long after the question all was known, less than 0: before it. */
+static int64_t known_after_us(const struct kv_feed *f, uint64_t asked_us)
+{
+	return f->known_us ? (int64_t)f->known_us - (int64_t)asked_us :
+			     INT64_MIN;
+}
+
 static void answer(const struct kv_feed *f, struct ready_wait *wait,
-		   GArray *items, bool partial)
+		   uint64_t asked_us, GArray *items, bool partial)
 {
 	GString *body = g_string_new(NULL);
 	uint64_t now = now_us(f);
@@ -212,6 +222,7 @@
 		.at = f->at,
 		.cursor = cursor(f),
 		.age_us = now - MIN(f->heard_us, now),
+		.known_us = known_after_us(f, asked_us),
 		.partial = partial,
 	};
 
@@ -231,17 +242,17 @@
 		put_changes(f, items, 0, since);
 	else
 		put_all(f, items, since);
-	answer(f, wait, items, partial);
+	answer(f, wait, clock_boot_us(), items, partial);
 	g_array_free(items, TRUE);
 }
 
 static void answer_changes(const struct kv_feed *f, struct ready_wait *wait,
-			   uint64_t after)
+			   uint64_t asked_us, uint64_t after)
 {
 	GArray *items = g_array_new(FALSE, FALSE, sizeof(struct kv_item));
 
 	put_changes(f, items, (after & COUNT_MASK) - f->first, 0);
-	answer(f, wait, items, true);
+	answer(f, wait, asked_us, items, true);
 	g_array_free(items, TRUE);
 }
 
@@ -260,11 +271,11 @@
 {
 	struct ready_wait *wait = w->wait;
 	struct kv_feed *f = w->feed;
-	uint64_t after = w->after;
+	uint64_t after = w->after, asked_us = w->asked_us;
 
 	ready_on_gone(wait, NULL, NULL);
 	forget(w);
-	answer_changes(f, wait, after);
+	answer_changes(f, wait, asked_us, after);
 }
 
 static void on_timer(uv_timer_t *timer)
@@ -285,6 +296,7 @@
 	w->feed = f;
 	w->wait = wait;
 	w->after = after;
+	w->asked_us = clock_boot_us();
 	w->link.data = w;
 	uv_timer_init(f->loop, &w->timer);
 	w->timer.data = w;
@@ -320,6 +332,12 @@
 		serve_waiters(f, true);
 }
 
+/* Told after all that was known by then. */
+void kv_feed_known(struct kv_feed *f, uint64_t known_us)
+{
+	f->known_us = MAX(f->known_us, known_us);
+}
+
 /* What was told so far belongs together: those that wait for news get it. */
 void kv_feed_settled(struct kv_feed *f, uint64_t at)
 {
@@ -371,7 +389,7 @@
 	else if (!is_known(f, after))
 		ready_answer(wait, HTTP_GONE, STR(""));
 	else if (after != cursor(f))
-		answer_changes(f, wait, after);
+		answer_changes(f, wait, clock_boot_us(), after);
 	else
 		wait_for_news(f, wait, after, wait_ms);
 }
--- a/packages/transport/src/kv_follow.c
+++ b/packages/transport/src/kv_follow.c
@@ -1,12 +1,14 @@
 #define LOG_MODULE "kv-follow"
 #include <celeryquay/transport/kv_follow.h>
 
+#include <celeryquay/base/clock.h>
 #include <celeryquay/base/log.h>
 #include <celeryquay/core/types.h>
 #include <celeryquay/transport/kv_table.h>
 
 #define CONNECT_TIMEOUT_US (1000 * USEC_PER_MSEC)
 #define NSEC_PER_USEC 1000
+#define WATCH_LATE_US USEC_PER_SEC
 #define GATHER_MS 200
 #define RETRY_LEAST_MS 60
 #define RETRY_MOST_MS 300
@@ -22,6 +24,7 @@
 	struct kv_follow *follow;
 	struct http_call *call;
 	uint64_t sent_ns;
+	uint64_t sent_us; /* of the boot clock */
 	GList link; /* in asked */
 };
 
@@ -44,6 +47,8 @@
 	uint64_t known_at; /* all up to this revision of the store is known */
 	uint64_t range_at; /* the store's revision at the first page */
 	uint64_t range_cursor;
+	uint64_t range_us; /* the first page was asked for then */
+	uint64_t sent_us; /* the call that was answered last */
 	char *page; /* the key before the next page; NULL: the first one */
 	char *last; /* key of the answer's last item */
 	unsigned delay_ms; /* before the next try; 0: all is well */
@@ -189,13 +194,32 @@
 bool kv_follow_read(struct kv_follow *f, struct str body,
 		    struct kv_answer *answer)
 {
-	*answer = (struct kv_answer){ 0 };
+	*answer = (struct kv_answer){ .known_us = INT64_MIN };
 	g_clear_pointer(&f->last, g_free);
 	if (!f->owed)
 		g_clear_pointer(&f->owed_key, g_free);
 	return f->codec->read(body, answer, take_item, f);
 }
 
+/*
+ * Failure: an answer is long on its way, or the process stands still before it
+ * reads it, and what it says counts as new. Guard: an answer is as old as its
+ * question. Another proxy says what it knew when the question came, which is
+ * not before it was sent.
+ */
+static void tell_known(struct kv_follow *f, const struct kv_answer *answer,
+		       uint64_t asked_us)
+{
+	int64_t known_us = (int64_t)asked_us;
+
+	if (f->feed && answer->known_us == INT64_MIN)
+		return;
+	if (f->feed)
+		known_us += answer->known_us;
+	if (known_us > 0)
+		f->events->known(f->ctx, (uint64_t)known_us);
+}
+
 static void end_range(struct kv_follow *f)
 {
 	GPtrArray *gone = g_ptr_array_new_with_free_func(g_free);
@@ -218,6 +242,7 @@
 static void take_page(struct kv_follow *f, const struct kv_answer *answer)
 {
 	if (!f->page) {
+		f->range_us = f->sent_us;
 		f->range_at = answer->at;
 		f->range_cursor = answer->cursor ? answer->cursor : answer->at;
 		f->partial = answer->partial;
@@ -227,8 +252,10 @@
 		f->page = g_steal_pointer(&f->last);
 	/* What is sent twice could not be told from the next page. */
 	f->source.repeat_ms = 0;
-	if (!f->page)
-		end_range(f);
+	if (f->page)
+		return;
+	end_range(f);
+	tell_known(f, answer, f->range_us);
 }
 
 /* The next call reads a range. */
@@ -258,6 +285,19 @@
 		note_store(f, true);
 }
 
+/*
+ * What a watch of the store doesn't tell is known less well: while a store
+ * drops its history, it may hold changes back for a moment.
+ */
+static void tell_known_by_watch(struct kv_follow *f,
+				const struct kv_answer *answer)
+{
+	uint64_t late_us = f->feed ? 0 : WATCH_LATE_US;
+
+	if (f->sent_us > late_us)
+		tell_known(f, answer, f->sent_us - late_us);
+}
+
 static void take_news(struct kv_follow *f, const struct kv_answer *answer)
 {
 	uint64_t next = answer->cursor ? answer->cursor : answer->at;
@@ -266,6 +306,7 @@
 	f->cursor = f->feed ? next : MAX(f->cursor, next);
 	f->known_at = MAX(f->known_at, answer->at);
 	f->events->settled(f->ctx, f->known_at);
+	tell_known_by_watch(f, answer);
 	/* Changes come in bursts; a call for each would be dear. */
 	uv_timer_start(&f->retry, on_retry,
 		       f->feed ? FEED_GATHER_MS :
@@ -344,6 +385,7 @@
 	struct kv_answer answer;
 
 	(void)not_sent;
+	f->sent_us = a->sent_us;
 	forget(a);
 	/* One that was sent after it may still be answered. */
 	if (err->code && f->asked.head)
@@ -434,6 +476,7 @@
 		MIN(f->source.timeout_us, CONNECT_TIMEOUT_US);
 	a->follow = f;
 	a->sent_ns = uv_hrtime();
+	a->sent_us = clock_boot_us();
 	a->link.data = a;
 	g_queue_push_tail_link(&f->asked, &a->link);
 	a->call = http_start(f->http, &request, &events, a);
--- a/packages/transport/src/session_front.c
+++ b/packages/transport/src/session_front.c
@@ -143,17 +143,18 @@
 	struct relay_answer answer = { .code = RELAY_MALFORMED,
 				       .text = STR("startup"),
 				       .state = caller->state };
-	struct str database;
+	struct str database, key;
 
-	if (codec_of(caller)->parse_startup(message, &database)) {
-		char *name = str_dup(database);
+	if (codec_of(caller)->parse_startup(message, &database, &key)) {
+		char *name = str_dup(database), *secret = str_dup(key);
 
 		answer.code = RELAY_OK;
 		answer.text = STR("");
 		caller->open = g->setup.host->session_open(
 			session_group_relay(g), caller->link.number, name,
-			&answer, g->setup.host->now_us());
+			secret, &answer, g->setup.host->now_us());
 		session_group_wake(g);
+		g_free(secret);
 		g_free(name);
 	}
 	codec_of(caller)->put_opened(g->out, &answer);
--- a/packages/transport/src/session_upstream.c
+++ b/packages/transport/src/session_upstream.c
@@ -185,7 +185,8 @@
 
 /* Connects and greets; what comes of it is told in a later turn. */
 void session_upstream_open(void *ctx, uint64_t number,
-			   const struct relay_server_info *server)
+			   const struct relay_server_info *server,
+			   const char *account)
 {
 	struct session_upstream *u = ((struct session_ends *)ctx)->upstream;
 	const struct session_codec *codec = u->group.setup.codec;
@@ -197,7 +198,8 @@
 	conn->reader = codec->reader_create();
 	conn->greeting = g_string_new(NULL);
 	codec->put_startup(conn->greeting, str_from_c(server->service),
-			   str_from_c(u->name), str_from_c(server->id));
+			   str_from_c(*account ? account : u->name),
+			   str_from_c(server->id));
 	conn->connect.data = conn;
 	if (!status)
 		status = uv_ip4_addr(server->host, server->port, &in);
--- a/packages/transport/tests/support_kv.c
+++ b/packages/transport/tests/support_kv.c
@@ -1,5 +1,6 @@
 #include "support_kv.h"
 
+#include <celeryquay/base/clock.h>
 #include <celeryquay/suite.h>
 
 #include <stdio.h>
@@ -220,6 +221,7 @@
 
 	rig.calls++;
 	p->store_calls++;
+	p->key_calls += key != NULL;
 	sscanf(text, "after=%" G_GUINT64_FORMAT, &after);
 	if (is_held(p)) {
 		hold(wait);
@@ -361,6 +363,15 @@
 	p->n_refused++;
 }
 
+static void on_known(void *ctx, uint64_t known_us)
+{
+	struct proxy *p = ctx;
+
+	ck_assert_uint_le(known_us, clock_boot_us());
+	p->known_us = known_us;
+	kv_feed_known(p->feed, known_us);
+}
+
 static void on_missing(void *ctx)
 {
 	struct proxy *p = ctx;
@@ -380,6 +391,7 @@
 	.fed = on_fed,
 	.refused = on_refused,
 	.missing = on_missing,
+	.known = on_known,
 };
 
 static struct ready *listen_on(void *ctx, const struct ready_page *pages,
--- a/packages/transport/tests/support_kv.h
+++ b/packages/transport/tests/support_kv.h
@@ -39,6 +39,7 @@
 	char *store_url;
 	enum kv_rig_mode store;
 	unsigned store_calls;
+	unsigned key_calls; /* of these, for one key */
 	struct feed_source *decides; /* whom it asks; NULL: `asks` */
 	const char *asks; /* the other's URL; NULL: the store */
 	bool asks_once; /* the store */
@@ -47,6 +48,7 @@
 	unsigned n_settled, n_heard, n_lost, n_fed, n_left, n_missing;
 	unsigned n_refused;
 	uint64_t age_us;
+	uint64_t known_us;
 };
 
 struct kv_rig {
--- a/packages/transport/tests/test_http.c
+++ b/packages/transport/tests/test_http.c
@@ -36,9 +36,8 @@
 {
 	uv_buf_t buf = uv_buf_init((char *)text, (unsigned)strlen(text));
 
-	ck_assert_int_gt(uv_try_write((uv_stream_t *)&rig.answering->tcp, &buf,
-				      1),
-			 0);
+	ck_assert_int_gt(
+		uv_try_write((uv_stream_t *)&rig.answering->tcp, &buf, 1), 0);
 }
 
 static void on_part(uv_timer_t *timer)
@@ -84,9 +83,8 @@
 	rig.answering = g_new0(struct answering, 1);
 	uv_tcp_init(&rig.loop, &rig.answering->tcp);
 	uv_timer_init(&rig.loop, &rig.answering->timer);
-	ck_assert_int_eq(uv_accept(listener,
-				   (uv_stream_t *)&rig.answering->tcp),
-			 0);
+	ck_assert_int_eq(
+		uv_accept(listener, (uv_stream_t *)&rig.answering->tcp), 0);
 	uv_read_start((uv_stream_t *)&rig.answering->tcp, on_alloc, on_request);
 }
 
@@ -150,7 +148,8 @@
 	g_free(url);
 }
 
-/* Guards against a long answer over a narrow link that is cut and begun anew. */
+/* Guards against a long answer over a narrow link that is cut and begun anew.
+ */
 START_TEST(an_answer_that_goes_on_is_not_silent)
 {
 	ck_assert_uint_gt(PARTS * PART_MS * USEC_PER_MSEC, SILENCE_US);
--- a/packages/transport/tests/test_kv_feed.c
+++ b/packages/transport/tests/test_kv_feed.c
@@ -50,6 +50,8 @@
 	kv_rig_put("op/config", large);
 	kv_rig_expect("op/config", large);
 	ck_assert_uint_eq(rig.follower.n_missing, 1);
+	/* A read of all would bring what is known, over a narrow link. */
+	ck_assert_uint_eq(rig.follower.key_calls, 1);
 	kv_rig_put("servers/a", "draining");
 	kv_rig_expect("servers/a", "draining");
 	ck_assert_uint_eq(rig.follower.n_heard, heard + 1);
--- a/packages/transport/tests/test_session.c
+++ b/packages/transport/tests/test_session.c
@@ -36,8 +36,10 @@
 	return str_eq(message, STR("bye"));
 }
 
-static bool parse_startup(struct str message, struct str *database)
+static bool parse_startup(struct str message, struct str *database,
+			  struct str *key)
 {
+	*key = STR("");
 	*database = message;
 	return message.len > 0;
 }
@@ -137,10 +139,11 @@
 }
 
 static bool on_session_open(struct relay *r, uint64_t session,
-			    const char *database, struct relay_answer *answer,
-			    uint64_t now_us)
+			    const char *database, const char *key,
+			    struct relay_answer *answer, uint64_t now_us)
 {
 	(void)r;
+	(void)key;
 	(void)answer;
 	(void)now_us;
 	ck_assert_str_eq(database, "service");
@@ -263,7 +266,7 @@
 		.port = port,
 	};
 
-	session_upstream_open(&rig, CONN, &info);
+	session_upstream_open(&rig, CONN, &info, "");
 }
 
 static void shrink_buffers(uv_handle_t *handle, void *arg)
