--- a/packages/relay/tests/test_accounts.c
+++ b/packages/relay/tests/test_accounts.c
@@ -213,8 +213,8 @@
 }
 END_TEST
 
-/* Guards against a configuration that can't be read and opens the door. */
-START_TEST(unreadable_accounts_close_the_door)
+/* Guards against a configuration that can't be read and admits lost keys. */
+START_TEST(unreadable_accounts_refuse_every_key)
 {
 	struct fake *f = fake_create_accounts(1, 1, 1);
 
@@ -337,7 +337,7 @@
 
 	g_log_set_writer_func(no_log, NULL, NULL);
 	tcase_add_test(tc, the_key_is_asked_for_first);
-	tcase_add_test(tc, unreadable_accounts_close_the_door);
+	tcase_add_test(tc, unreadable_accounts_refuse_every_key);
 	tcase_add_test(tc, a_transaction_ends_with_its_key);
 	tcase_add_test(tc, keys_are_good_again_with_the_store);
 	tcase_add_test(tc, one_proxy_gets_an_account_its_whole_rate);
