--- a/packages/transport/src/kv_follow.c
+++ b/packages/transport/src/kv_follow.c
@@ -210,11 +210,15 @@
 static void tell_known(struct kv_follow *f, const struct kv_answer *answer,
 		       uint64_t asked_us)
 {
+	int64_t now_us = (int64_t)clock_boot_us();
 	int64_t known_us = (int64_t)asked_us;
 
 	if (f->feed && answer->known_us == INT64_MIN)
 		return;
-	if (f->feed)
+	/* Nobody knows more than that, whatever the other says. */
+	if (f->feed && answer->known_us >= now_us - known_us)
+		known_us = now_us;
+	else if (f->feed)
 		known_us += answer->known_us;
 	if (known_us > 0)
 		f->events->known(f->ctx, (uint64_t)known_us);
--- a/packages/transport/tests/support_kv.c
+++ b/packages/transport/tests/support_kv.c
@@ -67,9 +67,9 @@
 	unsigned i;
 	bool ok = sscanf(lines[0] ? lines[0] : "",
 			 "%" G_GUINT64_FORMAT " %" G_GUINT64_FORMAT
-			 " %" G_GUINT64_FORMAT " %d",
+			 " %" G_GUINT64_FORMAT " %d %" G_GINT64_FORMAT,
 			 &answer->at, &answer->cursor, &answer->age_us,
-			 &partial) == 4;
+			 &partial, &answer->known_us) >= 4;
 
 	answer->partial = partial;
 	for (i = 1; ok && lines[i] && *lines[i]; i++) {
@@ -97,9 +97,11 @@
 
 	g_string_append_printf(out,
 			       "%" G_GUINT64_FORMAT " %" G_GUINT64_FORMAT
-			       " %" G_GUINT64_FORMAT " %d\n",
+			       " %" G_GUINT64_FORMAT " %d %" G_GINT64_FORMAT
+			       "\n",
 			       answer->at, answer->cursor, answer->age_us,
-			       answer->partial);
+			       answer->partial,
+			       rig.boasts ? INT64_MAX : answer->known_us);
 	for (i = 0; i < n; i++) {
 		g_string_append_printf(out, "%s %" G_GUINT64_FORMAT,
 				       items[i].key, items[i].revision);
@@ -368,7 +370,7 @@
 	struct proxy *p = ctx;
 
 	ck_assert_uint_le(known_us, clock_boot_us());
-	p->known_us = known_us;
+	p->known_us = MAX(p->known_us, known_us);
 	kv_feed_known(p->feed, known_us);
 }
 
--- a/packages/transport/tests/support_kv.h
+++ b/packages/transport/tests/support_kv.h
@@ -61,6 +61,7 @@
 	unsigned calls;
 	unsigned fail_ranges; /* the next ones are refused */
 	bool down;
+	bool boasts; /* the watcher says that it knows what is to come */
 	GQueue held; /* struct ready_wait: calls that get no answer */
 	struct proxy watcher, follower;
 	struct kv_feed *behind; /* nothing new is told to it; NULL: none is */
--- a/packages/transport/tests/test_kv_feed.c
+++ b/packages/transport/tests/test_kv_feed.c
@@ -1,5 +1,6 @@
 #include "support_kv.h"
 
+#include <celeryquay/base/clock.h>
 #include <celeryquay/suite.h>
 
 #include <string.h>
@@ -222,6 +223,44 @@
 }
 END_TEST
 
+static bool fed_again(void *ctx)
+{
+	const unsigned *n = ctx;
+
+	return rig.follower.n_fed >= *n;
+}
+
+/* Guards against a follower that takes a watcher's old knowledge for new. */
+START_TEST(a_follower_knows_no_more_than_its_watcher)
+{
+	unsigned until;
+
+	kv_rig_start();
+	kv_rig_expect("op/config", "one");
+	rig.watcher.store = KV_RIG_SILENT;
+	until = rig.follower.n_fed + 10;
+	loop_until(&rig.loop, fed_again, &until);
+	ck_assert_uint_gt(rig.follower.known_us, 0);
+	ck_assert_uint_le(rig.follower.known_us, rig.watcher.known_us);
+	kv_rig_end();
+}
+END_TEST
+
+/* Guards against a number that another proxy got wrong; see on_known(). */
+START_TEST(nobody_knows_what_is_to_come)
+{
+	unsigned until;
+
+	kv_rig_start();
+	kv_rig_expect("op/config", "one");
+	rig.boasts = true;
+	until = rig.follower.n_fed + 3;
+	loop_until(&rig.loop, fed_again, &until);
+	ck_assert_uint_le(rig.follower.known_us, clock_boot_us());
+	kv_rig_end();
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("kv feed");
@@ -237,5 +276,7 @@
 	tcase_add_test(tc, answers_say_how_old_they_are);
 	tcase_add_test(tc, a_watcher_that_started_anew);
 	tcase_add_test(tc, a_watcher_that_trails_takes_nothing_back);
+	tcase_add_test(tc, a_follower_knows_no_more_than_its_watcher);
+	tcase_add_test(tc, nobody_knows_what_is_to_come);
 	return suite_main("kv feed", tc);
 }
