conn: a proxy that starts leaves other proxies' accounts their connections

Cause: for 4 s after its start a proxy took what a server had left. With client accounts each needs many; the first homes took all, while servers still counted the connections of the former lives for 3 s, and the others were turned away for 150 ms at a time.

Deployments without accounts are not touched.

--- a/packages/relay/src/conn.c
+++ b/packages/relay/src/conn.c
@@ -188,6 +188,18 @@
 	return best;
 }
 
+/*
+ * With client accounts a proxy needs a connection for each of many accounts. If
+ * all that start anew took what there is, the first ones would leave none to
+ * the others until the servers forget the former lives.
+ */
+static bool takes_all(const struct rserver *s, uint64_t now_us)
+{
+	const struct relay *r = s->relay;
+
+	return !r->settings.accounts && now_us < r->started_us + START_US;
+}
+
 /*
  * Whether one more may be opened: the server's limit holds for all proxies
  * together. Above half of it each keeps to its first ones, so that proxies
@@ -205,7 +217,7 @@
 		return true;
 	if (there + NEAR_FULL > limit)
 		return false;
-	if (now_us < s->relay->started_us + START_US)
+	if (takes_all(s, now_us))
 		return true;
 	return s->n_conns < FEW_CONNS + s->n_stuck || there * 2 < limit;
 }
--- a/packages/relay/tests/test_accounts.c
+++ b/packages/relay/tests/test_accounts.c
@@ -298,6 +298,36 @@
 }
 END_TEST
 
+/* Whether a relay that starts before a server half full takes a third one. */
+static bool takes_a_third(struct fake *f)
+{
+	struct relay *r = f->relays[0].relay;
+	struct rserver *s;
+
+	fake_run(f, 2 * USEC_PER_SEC);
+	s = g_hash_table_lookup(r->servers, "s1");
+	ck_assert(rsv_is_up(s));
+	s->status.connections = f->max_connections / 2 + 1;
+	s->n_conns = 2;
+	return rcn_may_open(s, f->now_us);
+}
+
+/*
+ * Guards against a restarted fleet whose first proxies take all connections
+ * that servers have left, an account each, and refuse at the others.
+ */
+START_TEST(a_start_leaves_connections_to_the_others)
+{
+	struct fake *f = fake_create_accounts(1, 5, 1);
+	struct fake *without = fake_create(1, 5, 1);
+
+	ck_assert(!takes_a_third(f));
+	ck_assert(takes_a_third(without));
+	fake_destroy(f);
+	fake_destroy(without);
+}
+END_TEST
+
 /* Guards against a key that two accounts have, which opens one of them. */
 START_TEST(a_key_of_two_accounts_is_nobodys)
 {
@@ -341,6 +371,7 @@
 	tcase_add_test(tc, a_transaction_ends_with_its_key);
 	tcase_add_test(tc, keys_are_good_again_with_the_store);
 	tcase_add_test(tc, one_proxy_gets_an_account_its_whole_rate);
+	tcase_add_test(tc, a_start_leaves_connections_to_the_others);
 	tcase_add_test(tc, a_key_of_two_accounts_is_nobodys);
 	tcase_add_test(tc, days_keep_accounts_apart);
 	tcase_add_loop_test(tc, days_notice_a_missing_guard, 0,
