--- a/packages/relay/src/peer.c
+++ b/packages/relay/src/peer.c
@@ -246,7 +246,7 @@
 	GPtrArray *list = copy_peers(r, infos, n_infos);
 
 	feed_source_on_proxies(r->feed_source, infos, n_infos);
-	rlm_on_peers(r, infos, n_infos, now_us);
+	rgr_on_peers(r, infos, n_infos, now_us);
 	g_clear_pointer(&r->peers_held, g_ptr_array_unref);
 	if (list->len * 2 >= r->peers->len) {
 		take_peers(r, list, now_us);
--- a/packages/relay/src/relay_internal.h
+++ b/packages/relay/src/relay_internal.h
@@ -9,8 +9,9 @@
  * fence of that, rdt_ the duty record, rtd_ what changes leave
  * behind, rco_
  * network partitions, rpr_ other proxies, rvi_ homes that sessions go through,
- * rac_ client accounts, rlm_ their limits, rol_ servers that fail in part, rcl_
- * limits of what is in flight at a server, rlg_ log lines, rmt_ metrics.
+ * rac_ client accounts, rlm_ their limits, rgr_ who gives tokens of these, rol_
+ * servers that fail in part, rcl_ limits of what is in flight at a server, rlg_
+ * log lines, rmt_ metrics.
  */
 
 #include <celeryquay/base/log_event.h>
@@ -345,7 +346,7 @@
 	GQueue waiting; /* struct rrun by arrival */
 	GHashTable *limits; /* account -> struct rlimit */
 	GHashTable *limits_active; /* those that have something to do */
-	GHashTable *members; /* proxies that may grant; limit.c */
+	GHashTable *members; /* proxies that may grant; grantor.c */
 	struct rservice *grantors; /* proxies that are asked for tokens */
 	uint64_t limits_us; /* they were looked after then */
 	uint64_t known_us; /* all that the store had then is known */
@@ -477,11 +478,7 @@
 /* limit.c */
 void rlm_init(struct relay *r);
 void rlm_clear(struct relay *r);
-void rlm_on_peers(struct relay *r, const struct relay_server_info *infos,
-		  unsigned n_infos, uint64_t now_us);
 void rlm_on_catalog(struct relay *r, uint64_t now_us);
-void rlm_on_asked(struct rsession *s, const struct relay_statement *st,
-		  uint64_t now_us);
 void rlm_on_answer(struct rconn *c, const struct relay_answer *answer,
 		   uint64_t now_us);
 void rlm_on_lost(struct rconn *c, uint64_t now_us);
@@ -494,6 +491,12 @@
 void rlm_tick(struct relay *r, uint64_t now_us);
 void rlm_write_status(const struct relay *r, GString *out);
 
+/* grantor.c */
+void rgr_on_peers(struct relay *r, const struct relay_server_info *infos,
+		  unsigned n_infos, uint64_t now_us);
+void rgr_on_asked(struct rsession *s, const struct relay_statement *st,
+		  uint64_t now_us);
+
 /* run.c */
 void rrun_begin(struct rsession *s, uint64_t now_us);
 void rrun_refuse_limited(struct rsession *s, const char *text, uint64_t now_us);
--- a/packages/relay/src/session.c
+++ b/packages/relay/src/session.c
@@ -368,7 +368,7 @@
 	else if (s->peer && statement->verb == RELAY_RESET)
 		run_reset(s);
 	else if (s->peer && statement->verb == RELAY_TAKE)
-		rlm_on_asked(s, statement, now_us);
+		rgr_on_asked(s, statement, now_us);
 	else if (s->peer && statement->verb == RELAY_STATUS)
 		rss_answer(s, RELAY_OK, "-");
 	else if (statement->verb == RELAY_COMMIT)
