grantor: a list of proxies costs one step a proxy; the first one is the first

Each list of proxies was compared with all that were known, by the square of the fleet, also where there are no limits; and a fleet whose entries all lapsed for 5 s would have taken the next list for its first and granted at once, beside those of before. A number of the newest list says who is in it; a deployment without limits keeps none of it.

Tests of the three rules that the sum of the parts rests on: who is new waits, who left counts on, who hears nothing stops.

--- a/packages/relay/src/account.c
+++ b/packages/relay/src/account.c
@@ -72,14 +72,14 @@
 	if (s->peer)
 		return check_peer(s, why);
 	a = relay_catalog_account_of_key(r->catalog, s->key);
-	if (!a && needs_key(s) && !rac_is_stale(r, now_us)) {
-		*why = "the key is not known";
-		return RELAY_UNAUTHORIZED;
-	}
 	if (needs_key(s) && rac_is_stale(r, now_us)) {
 		*why = "it is not known which keys are good; come back in 1 s";
 		return RELAY_BUSY;
 	}
+	if (needs_key(s) && !a) {
+		*why = "the key is not known";
+		return RELAY_UNAUTHORIZED;
+	}
 	if (!take_account(s, a ? a->name : "")) {
 		*why = "the key is another account's now";
 		return RELAY_UNAUTHORIZED;
--- a/packages/relay/src/grantor.c
+++ b/packages/relay/src/grantor.c
@@ -55,51 +55,58 @@
 	g_hash_table_destroy(r->members);
 }
 
-static void add_member(struct relay *r, const char *name, uint64_t listed_us)
+static struct member *member_of(struct relay *r, const char *name)
 {
 	struct member *m = g_hash_table_lookup(r->members, name);
 
-	if (m && !m->left_us)
-		return;
-	if (!m) {
-		m = g_new0(struct member, 1);
-		m->name = g_strdup(name);
-		g_hash_table_insert(r->members, m->name, m);
-		r->members_changed++;
-	}
-	m->left_us = 0;
-	m->listed_us = listed_us;
+	if (m)
+		return m;
+	m = g_new0(struct member, 1);
+	m->name = g_strdup(name);
+	m->left_us = NEVER_US; /* until it is listed */
+	g_hash_table_insert(r->members, m->name, m);
+	r->members_changed++;
+	return m;
 }
 
-static bool is_listed(const struct relay_server_info *infos, unsigned n_infos,
-		      const char *name)
+static void note_listed(struct relay *r, const char *name, uint64_t listed_us)
 {
-	unsigned i;
+	struct member *m = member_of(r, name);
 
-	for (i = 0; i < n_infos; i++)
-		if (!strcmp(infos[i].id, name))
-			return true;
-	return false;
+	m->list = r->members_lists;
+	if (!m->left_us)
+		return;
+	m->left_us = 0;
+	m->listed_us = listed_us;
 }
 
-/* The proxies as they are listed now, this one included if it is. */
-void rgr_on_peers(struct relay *r, const struct relay_server_info *infos,
-		  unsigned n_infos, uint64_t now_us)
+static void note_left(struct relay *r, uint64_t now_us)
 {
-	bool is_first = !g_hash_table_size(r->members);
 	GHashTableIter iter;
 	gpointer value;
-	unsigned i;
 
 	g_hash_table_iter_init(&iter, r->members);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct member *m = value;
 
-		if (!m->left_us && !is_listed(infos, n_infos, m->name))
+		if (!m->left_us && m->list != r->members_lists)
 			m->left_us = now_us;
 	}
+}
+
+/* The proxies as they are listed now, this one included if it is. */
+void rgr_on_peers(struct relay *r, const struct relay_server_info *infos,
+		  unsigned n_infos, uint64_t now_us)
+{
+	bool is_first = !r->members_lists;
+	unsigned i;
+
+	if (!r->settings.limits)
+		return;
+	r->members_lists++;
 	for (i = 0; i < n_infos; i++)
-		add_member(r, infos[i].id, is_first ? 0 : now_us);
+		note_listed(r, infos[i].id, is_first ? 0 : now_us);
+	note_left(r, now_us);
 }
 
 /* Forgets who left so long ago that nobody goes by a list with it. */
--- a/packages/relay/src/limit_internal.h
+++ b/packages/relay/src/limit_internal.h
@@ -12,6 +12,7 @@
 	char *name;
 	uint64_t listed_us; /* 0: it was when this proxy began */
 	uint64_t left_us; /* 0: it is listed */
+	unsigned list; /* the newest that it is in */
 };
 
 struct grantor {
--- a/packages/relay/src/relay_internal.h
+++ b/packages/relay/src/relay_internal.h
@@ -326,6 +326,7 @@
 	struct relay_settings settings;
 	struct relay_guards guards;
 	unsigned members_changed; /* how often */
+	unsigned members_lists; /* how many came */
 	char *name;
 	char *zone;
 	const struct relay_ops *ops;
--- a/packages/relay/tests/test_accounts.c
+++ b/packages/relay/tests/test_accounts.c
@@ -2,6 +2,7 @@
  * Client accounts: whose connection a statement runs on, whose key is good, and
  * how much of an account's operations run.
  */
+#include "limit_internal.h"
 #include "support_history.h"
 
 #include <celeryquay/suite.h>
@@ -328,6 +329,90 @@
 }
 END_TEST
 
+/* Tells the first relay of a list that lacks one of them, or none (-1). */
+static void list_without(struct fake *f, int missing)
+{
+	struct relay_server_info infos[RELAYS] = { 0 };
+	unsigned i, n = 0;
+
+	for (i = 0; i < f->n_relays; i++)
+		if ((int)i != missing)
+			infos[n++].id = f->relays[i].name;
+	rgr_on_peers(f->relays[0].relay, infos, n, f->now_us);
+}
+
+static bool grants(struct fake *f)
+{
+	struct rlimit *l = rlm_find(f->relays[0].relay, "account0");
+	uint64_t wait_us;
+	unsigned given;
+
+	return rgr_grant(l, 1, &given, &wait_us, f->now_us) && given;
+}
+
+/* Guards against a fifth grantor beside four that don't know of it yet. */
+START_TEST(a_proxy_that_is_new_waits_before_it_grants)
+{
+	struct fake *f = fake_create_accounts(1, 2, 1);
+
+	fake_run(f, 6 * USEC_PER_SEC);
+	ck_assert(grants(f));
+	list_without(f, 0);
+	ck_assert(!grants(f));
+	list_without(f, -1);
+	ck_assert(!grants(f));
+	fake_run(f, FAKE_KEY_AGE_US - 100 * MS);
+	ck_assert(!grants(f));
+	fake_run(f, 200 * MS);
+	ck_assert(grants(f));
+	fake_destroy(f);
+}
+END_TEST
+
+static bool is_ranked(struct fake *f, const char *name)
+{
+	const struct rlimit *l = rlm_find(f->relays[0].relay, "account0");
+	unsigned i;
+
+	for (i = 0; i < l->n_grantors; i++)
+		if (!strcmp(l->grantors[i].name, name))
+			return true;
+	return false;
+}
+
+/* Guards against the same in place of one that left and may not know it. */
+START_TEST(a_proxy_that_left_counts_on_for_a_while)
+{
+	struct fake *f = fake_create_accounts(1, RELAYS, 1);
+	unsigned left = 1;
+
+	fake_run(f, 6 * USEC_PER_SEC);
+	while (!is_ranked(f, f->relays[left].name))
+		left++;
+	list_without(f, (int)left);
+	fake_run(f, FAKE_KEY_AGE_US - 100 * MS);
+	ck_assert(is_ranked(f, f->relays[left].name));
+	fake_run(f, 200 * MS);
+	ck_assert(!is_ranked(f, f->relays[left].name));
+	fake_destroy(f);
+}
+END_TEST
+
+/* Guards against tokens by a list that may have been replaced. */
+START_TEST(a_grantor_that_hears_nothing_stops)
+{
+	struct fake *f = fake_create_accounts(1, 2, 1);
+
+	fake_run(f, 6 * USEC_PER_SEC);
+	fake_store(f, 0, false);
+	fake_run(f, FAKE_KEY_AGE_US - USEC_PER_SEC);
+	ck_assert(grants(f));
+	fake_run(f, USEC_PER_SEC + 200 * MS);
+	ck_assert(!grants(f));
+	fake_destroy(f);
+}
+END_TEST
+
 /* Guards against a key that two accounts have, which opens one of them. */
 START_TEST(a_key_of_two_accounts_is_nobodys)
 {
@@ -372,6 +457,9 @@
 	tcase_add_test(tc, keys_are_good_again_with_the_store);
 	tcase_add_test(tc, one_proxy_gets_an_account_its_whole_rate);
 	tcase_add_test(tc, a_start_leaves_connections_to_the_others);
+	tcase_add_test(tc, a_proxy_that_is_new_waits_before_it_grants);
+	tcase_add_test(tc, a_proxy_that_left_counts_on_for_a_while);
+	tcase_add_test(tc, a_grantor_that_hears_nothing_stops);
 	tcase_add_test(tc, a_key_of_two_accounts_is_nobodys);
 	tcase_add_test(tc, days_keep_accounts_apart);
 	tcase_add_loop_test(tc, days_notice_a_missing_guard, 0,
