grantor: who grants is worked out anew, also while an answer is awaited

Found by reading: a proxy ranked an account's grantors only when it was not asking for that account's tokens. One whose callers press always asks, and would have granted by the list of before for as long: a fifth grantor. The new test fails without the mend (the one that left stays ranked).

Besides, a proxy that becomes a grantor of an account begins with an empty bucket, since the one before it may have given a window's tokens.

--- a/packages/relay/src/grantor.c
+++ b/packages/relay/src/grantor.c
@@ -166,16 +166,34 @@
 	return (x > y) - (x < y);
 }
 
+static bool is_ranked(const struct rlimit *l)
+{
+	unsigned i;
+
+	for (i = 0; i < l->n_grantors; i++)
+		if (!strcmp(l->grantors[i].name, l->relay->name))
+			return true;
+	return false;
+}
+
+/* The grantor before it has given what could have gathered here. */
+static void begin_empty(struct rlimit *l)
+{
+	l->tokens = 0;
+	l->filled_us = l->relay->ticked_us;
+}
+
 /* Works out who the account's grantors are, if the list has changed. */
 void rgr_rank(struct rlimit *l)
 {
 	const struct member *best[LIMIT_GRANTORS];
+	bool was_other = l->n_grantors && !is_ranked(l);
 	struct relay *r = l->relay;
 	GHashTableIter iter;
 	gpointer value;
 	unsigned i, n = 0;
 
-	if (l->ranked == r->members_changed || l->ask)
+	if (l->ranked == r->members_changed)
 		return;
 	l->ranked = r->members_changed;
 	g_hash_table_iter_init(&iter, r->members);
@@ -187,25 +205,24 @@
 		l->grantors[i] =
 			(struct grantor){ .name = g_strdup(best[i]->name) };
 	l->n_grantors = n;
+	l->chosen = n; /* what is in flight is of the ranking before */
 	l->chosen_us = 0;
 	g_qsort_with_data(l->grantors, (gint)n, sizeof(l->grantors[0]),
 			  by_place, l);
+	if (was_other && is_ranked(l))
+		begin_empty(l);
 }
 
 static bool is_grantor(const struct rlimit *l, uint64_t now_us)
 {
 	const struct relay *r = l->relay;
 	const struct member *self = g_hash_table_lookup(r->members, r->name);
-	unsigned i;
 
 	if (!self || self->left_us || r->stopping ||
 	    rac_age_us(r, now_us) > max_age_us(r) ||
 	    (self->listed_us && now_us < self->listed_us + max_age_us(r)))
 		return false;
-	for (i = 0; i < l->n_grantors; i++)
-		if (!strcmp(l->grantors[i].name, r->name))
-			return true;
-	return false;
+	return is_ranked(l);
 }
 
 /* What the rule leaves above the rate and the burst of a window. */
@@ -268,6 +285,7 @@
 
 	*given = 0;
 	*wait_us = 0;
+	rgr_rank(l);
 	if (!a || !is_grantor(l, now_us))
 		return false;
 	fill(l, a, now_us);
--- a/packages/relay/tests/test_accounts.c
+++ b/packages/relay/tests/test_accounts.c
@@ -398,6 +398,27 @@
 }
 END_TEST
 
+/* Guards against a ranking that waits for an ask, while one always waits. */
+START_TEST(a_ranking_waits_for_no_answer)
+{
+	struct fake *f = fake_create_accounts(1, RELAYS, 1);
+	struct rconn in_flight = { 0 };
+	struct rlimit *l;
+	unsigned left = 1;
+
+	fake_run(f, 6 * USEC_PER_SEC);
+	while (!is_ranked(f, f->relays[left].name))
+		left++;
+	l = rlm_find(f->relays[0].relay, "account0");
+	list_without(f, (int)left);
+	fake_run(f, FAKE_KEY_AGE_US + 100 * MS);
+	l->ask = &in_flight;
+	ck_assert(!is_ranked(f, f->relays[left].name));
+	l->ask = NULL;
+	fake_destroy(f);
+}
+END_TEST
+
 /* Guards against tokens by a list that may have been replaced. */
 START_TEST(a_grantor_that_hears_nothing_stops)
 {
@@ -459,6 +480,7 @@
 	tcase_add_test(tc, a_start_leaves_connections_to_the_others);
 	tcase_add_test(tc, a_proxy_that_is_new_waits_before_it_grants);
 	tcase_add_test(tc, a_proxy_that_left_counts_on_for_a_while);
+	tcase_add_test(tc, a_ranking_waits_for_no_answer);
 	tcase_add_test(tc, a_grantor_that_hears_nothing_stops);
 	tcase_add_test(tc, a_key_of_two_accounts_is_nobodys);
 	tcase_add_test(tc, days_keep_accounts_apart);
