feed-source: choose the watchers in one pass over the proxies

What callers saw: nothing yet. A fleet of 984 didn't get as far as its first caller, since each change of the list of proxies cost each proxy tens of milliseconds, of an eighth of a core.

Cause: whether a proxy watches was worked out for each one by a walk over all others, with two hashes a step. 984 x 984 on each proxy and change. Now all are sorted once by data centre, link and draw, and the first few of each data centre are taken. Whom that names is the same as before; a test holds that the order of the list doesn't matter.

--- a/packages/relay/src/feed_source.c
+++ b/packages/relay/src/feed_source.c
@@ -154,35 +154,91 @@
 	return XXH3_64bits(name, strlen(name));
 }
 
-/* The one with the widest link serves most; among equals the draw decides. */
-static bool is_better(const struct relay_server_info *a,
-		      const struct relay_server_info *b)
+/* A proxy that may watch for its data centre. */
+struct candidate {
+	const struct relay_server_info *info;
+	uint64_t draw;
+};
+
+/*
+ * Data centres one after the other. In each, the one with the widest link
+ * serves most; among equals the draw decides.
+ */
+static gint by_zone_and_link(gconstpointer a, gconstpointer b)
 {
-	if (a->mbps != b->mbps)
-		return a->mbps > b->mbps;
-	if (draw(a->id) != draw(b->id))
-		return draw(a->id) > draw(b->id);
-	return strcmp(a->id, b->id) < 0;
+	const struct candidate *x = a, *y = b;
+	int zone = g_strcmp0(x->info->zone, y->info->zone);
+
+	if (zone)
+		return zone;
+	if (x->info->mbps != y->info->mbps)
+		return x->info->mbps > y->info->mbps ? -1 : 1;
+	if (x->draw != y->draw)
+		return x->draw > y->draw ? -1 : 1;
+	return strcmp(x->info->id, y->info->id);
 }
 
-/* Whether it watches for others: few of its data centre come before it. */
-static bool watches(const struct feed_source *f,
-		    const struct relay_server_info *info,
-		    const struct relay_server_info *self)
+/* All proxies and this one, best first in each data centre. */
+static GArray *list_candidates(const struct feed_source *f,
+			       const struct relay_server_info *self)
 {
-	unsigned i, before = 0, all = 0;
+	GArray *list = g_array_sized_new(FALSE, FALSE, sizeof(struct candidate),
+					 f->proxies->len + 1);
+	struct candidate c = { .info = self, .draw = draw(self->id) };
+	unsigned i;
 
-	for (i = 0; i <= f->proxies->len; i++) {
-		const struct relay_server_info *p =
-			i < f->proxies->len ? g_ptr_array_index(f->proxies, i) :
-					      self;
+	g_array_append_val(list, c);
+	for (i = 0; i < f->proxies->len; i++) {
+		c.info = g_ptr_array_index(f->proxies, i);
+		c.draw = draw(c.info->id);
+		g_array_append_val(list, c);
+	}
+	g_array_sort(list, by_zone_and_link);
+	return list;
+}
+
+static const struct relay_server_info *candidate_at(const GArray *list,
+						    unsigned i)
+{
+	return g_array_index(list, struct candidate, i).info;
+}
 
-		if (g_strcmp0(p->zone, info->zone))
-			continue;
-		all++;
-		before += p != info && is_better(p, info);
+/* Where the next data centre begins. */
+static unsigned zone_end(const GArray *list, unsigned from)
+{
+	const char *zone = candidate_at(list, from)->zone;
+	unsigned end = from + 1;
+
+	while (end < list->len &&
+	       !g_strcmp0(candidate_at(list, end)->zone, zone))
+		end++;
+	return end;
+}
+
+static void add_watcher(struct feed_source *f,
+			const struct relay_server_info *info,
+			const struct relay_server_info *self)
+{
+	if (info == self)
+		f->is_watcher = true;
+	else if (info->feed_port)
+		g_ptr_array_add(f->watchers, (gpointer)info);
+}
+
+/* The first few of each data centre. */
+static void take_watchers(struct feed_source *f,
+			  const struct relay_server_info *self)
+{
+	GArray *list = list_candidates(f, self);
+	unsigned from, end, i, n;
+
+	for (from = 0; from < list->len; from = end) {
+		end = zone_end(list, from);
+		n = 1 + (end - from) / PROXIES_A_WATCHER;
+		for (i = from; i < MIN(from + n, end); i++)
+			add_watcher(f, candidate_at(list, i), self);
 	}
-	return before < 1 + all / PROXIES_A_WATCHER;
+	g_array_free(list, TRUE);
 }
 
 /* Near ones first; among them each proxy has its own order. */
@@ -221,16 +277,11 @@
 					  .zone = f->zone,
 					  .mbps = f->mbps };
 	bool was_watcher = f->is_watcher, was_shared = f->is_shared;
-	unsigned i;
 
 	f->is_shared = f->proxies->len + 1 > DIRECT_MAX;
-	f->is_watcher = f->is_shared && watches(f, &self, &self);
-	for (i = 0; f->is_shared && i < f->proxies->len; i++) {
-		struct relay_server_info *p = g_ptr_array_index(f->proxies, i);
-
-		if (p->feed_port && watches(f, p, &self))
-			g_ptr_array_add(f->watchers, p);
-	}
+	f->is_watcher = false;
+	if (f->is_shared)
+		take_watchers(f, &self);
 	g_ptr_array_sort_with_data(f->watchers, by_preference, f);
 	if (was_watcher != f->is_watcher || was_shared != f->is_shared)
 		log_role(f);
--- a/packages/relay/tests/test_feed_source.c
+++ b/packages/relay/tests/test_feed_source.c
@@ -104,6 +104,27 @@
 }
 END_TEST
 
+/* Fails when a proxy's place in the list decides whether it watches. */
+START_TEST(the_order_of_a_list_does_not_matter)
+{
+	unsigned i;
+
+	list(300);
+	for (i = 0; i < 300; i++) {
+		struct feed_source *f = start(i, 300);
+		bool watches = feed_source_is_watcher(f);
+		struct relay_server_info turned[300];
+		unsigned j;
+
+		for (j = 0; j < 300; j++)
+			turned[j] = infos[(j + 7 * i) % 300];
+		feed_source_on_proxies(f, turned, 300);
+		ck_assert_int_eq(feed_source_is_watcher(f), watches);
+		feed_source_destroy(f);
+	}
+}
+END_TEST
+
 /*
  * Three hundred proxies that each watch the store made most of all calls to
  * the platform. The first watcher of a hall is the one with the widest link.
@@ -362,6 +383,7 @@
 	tcase_add_test(tc, a_small_fleet_asks_the_store);
 	tcase_add_test(tc, a_few_watch_for_a_large_one);
 	tcase_add_test(tc, watchers_grow_with_the_fleet);
+	tcase_add_test(tc, the_order_of_a_list_does_not_matter);
 	tcase_add_test(tc, a_very_large_fleet_shares_a_few_watchers);
 	tcase_add_test(tc, what_is_sent_goes_by_the_link);
 	tcase_add_test(tc, a_watcher_that_is_behind_is_left);
