relay: keep each service's homes by what changed in the list of proxies

Each change of the list of proxies ranked all services among all proxies, 1,000 x 984 hashes, and built the list of candidates anew for each service.

Now a proxy keeps, for each service, how many proxies rank before it; one that comes or goes changes that by one at most. Who the other homes are is worked out when somebody asks for the service's databases. The ranking is the same as before, which a test compares after sixty random lists; proxies of the earlier release agree on the homes.

Ways: (a) a list of the first twenty of each service, kept sorted: one that goes from it makes that service rank all anew, 20 of 984 x 1,000 services; (b) the count, and names by need (taken): no case is dear. (a) was weighed, not built.

Also one copy of what copies and compares a server's or proxy's entry, where three stood, and a proxy's address that changes is taken over at once; its test found a key that was freed with the address before it.

--- a/packages/core/include/celeryquay/core/homes.h
+++ b/packages/core/include/celeryquay/core/homes.h
@@ -25,4 +25,11 @@
 		    const struct home_candidate *candidates, unsigned n,
 		    unsigned *out, unsigned max);
 
+/*
+ * The same one candidate at a time, where no server is near any of them: the
+ * highest draws of a database's seed are its homes.
+ */
+uint64_t homes_seed(const struct database_conf *db);
+uint64_t homes_draw(uint64_t seed, const char *name);
+
 #endif
--- a/packages/core/src/homes.c
+++ b/packages/core/src/homes.c
@@ -72,13 +72,20 @@
 	return best;
 }
 
-static uint64_t database_seed(const struct database_conf *db)
+/* What a database's draws start from. */
+uint64_t homes_seed(const struct database_conf *db)
 {
 	uint64_t seed = XXH3_64bits(db->service, strlen(db->service));
 
 	return XXH3_64bits_withSeed(db->name, strlen(db->name), seed);
 }
 
+/* What a candidate draws that no server is near. */
+uint64_t homes_draw(uint64_t seed, const char *name)
+{
+	return highest_draw(seed, name, DRAWS_BASE);
+}
+
 /* Inserts into the best so far, which are at most max; returns how many. */
 static unsigned insert_ranked(struct ranked *best, unsigned count, unsigned max,
 			      struct ranked r)
@@ -109,7 +116,7 @@
 		    const struct home_candidate *candidates, unsigned n,
 		    unsigned *out, unsigned max)
 {
-	uint64_t seed = database_seed(db);
+	uint64_t seed = homes_seed(db);
 	struct ranked *best;
 	unsigned count = 0;
 	unsigned i;
--- a/packages/relay/include/celeryquay/relay/server_list.h
+++ b/packages/relay/include/celeryquay/relay/server_list.h
@@ -23,6 +23,17 @@
 /* Passes the list on if it was changed. */
 void relay_server_list_pass(struct relay_server_list *l, struct relay *r,
 			    relay_list_fn pass, uint64_t now_us);
+
+/* Strings are copied with the rest. */
+void relay_server_info_copy(struct relay_server_info *to,
+			    const struct relay_server_info *from);
+/* The same over a copy that was made before. */
+void relay_server_info_replace(struct relay_server_info *to,
+			       const struct relay_server_info *from);
+/* Frees the strings of a copy. */
+void relay_server_info_clear(struct relay_server_info *info);
+bool relay_server_info_equal(const struct relay_server_info *a,
+			     const struct relay_server_info *b);
 void relay_server_info_free(struct relay_server_info *info);
 
 #endif
--- a/packages/relay/src/feed_source.c
+++ b/packages/relay/src/feed_source.c
@@ -287,31 +287,24 @@
 		log_role(f);
 }
 
-static struct relay_server_info *copy(const struct relay_server_info *from)
-{
-	struct relay_server_info *to = g_memdup2(from, sizeof(*from));
-
-	to->id = g_strdup(from->id);
-	to->service = NULL;
-	to->host = g_strdup(from->host);
-	to->zone = g_strdup(from->zone);
-	return to;
-}
-
 /* The proxies as they are listed. */
 void feed_source_on_proxies(struct feed_source *f,
 			    const struct relay_server_info *infos,
 			    unsigned n_infos)
 {
+	struct relay_server_info *copy;
 	unsigned i;
 
 	g_ptr_array_set_size(f->watchers, 0);
 	g_ptr_array_set_size(f->proxies, 0);
 	for (i = 0; i < n_infos; i++) {
-		if (!strcmp(infos[i].id, f->name))
+		if (!strcmp(infos[i].id, f->name)) {
 			f->mbps = infos[i].mbps;
-		else
-			g_ptr_array_add(f->proxies, copy(&infos[i]));
+			continue;
+		}
+		copy = g_new(struct relay_server_info, 1);
+		relay_server_info_copy(copy, &infos[i]);
+		g_ptr_array_add(f->proxies, copy);
 	}
 	choose_watchers(f);
 }
--- a/packages/relay/src/limit.c
+++ b/packages/relay/src/limit.c
@@ -155,7 +155,7 @@
 static struct rserver *server_of(struct relay *r, const char *name,
 				 uint64_t now_us)
 {
-	const struct relay_server_info *p = rvi_find_peer(r, name);
+	const struct relay_server_info *p = rpr_find(r, name);
 	struct rserver *s;
 
 	if (!p)
--- a/packages/relay/src/peer.c
+++ b/packages/relay/src/peer.c
@@ -10,7 +10,7 @@
 #include "relay_internal.h"
 
 #include <celeryquay/base/log.h>
-#include <celeryquay/core/homes.h>
+#include <celeryquay/relay/server_list.h>
 
 /* Tenths of a connection at a server, for a proxy that serves by itself. */
 #define DIRECT_TENTHS 25
@@ -38,44 +38,20 @@
 	return !strcmp(r->name, name);
 }
 
+static unsigned n_proxies(const struct relay *r)
+{
+	return g_hash_table_size(r->peers) + 1;
+}
+
 static unsigned homes_wanted(const struct rservice *v, unsigned n)
 {
 	unsigned limit = v->max_connections;
 
 	if (!limit || n * DIRECT_TENTHS <= limit * 10)
-		return n;
+		return MIN(n, HOMES_MAX);
 	return MIN(CLAMP(limit / HOME_CONNS, HOMES_LEAST, HOMES_MOST), n);
 }
 
-static unsigned rank(const struct rservice *v,
-		     const struct home_candidate *candidates, unsigned n,
-		     unsigned *order)
-{
-	struct database_conf conf = { .service = v->name, .name = v->name };
-	unsigned wanted = MIN(homes_wanted(v, n) + SPARES, HOMES_MAX);
-
-	return homes_rank(&conf, candidates, n, order, wanted);
-}
-
-static struct home_candidate *list_candidates(const struct relay *r,
-					      unsigned *n)
-{
-	struct home_candidate *list =
-		g_new0(struct home_candidate, r->peers->len + 1);
-	unsigned i;
-
-	*n = 0;
-	list[(*n)++] = (struct home_candidate){ r->name, r->zone, "", false };
-	for (i = 0; i < r->peers->len; i++) {
-		const struct relay_server_info *p =
-			g_ptr_array_index(r->peers, i);
-
-		list[(*n)++] =
-			(struct home_candidate){ p->id, p->zone, "", false };
-	}
-	return list;
-}
-
 static void log_home(const struct rservice *v, unsigned n_proxies)
 {
 	struct log_line *l = log_event(LOG_STATE, "home");
@@ -95,40 +71,125 @@
 	v->is_home = true;
 	v->no_primary_us = v->relay->ticked_us;
 	v->usable_us = 0;
-	log_home(v, v->relay->peers->len + 1);
-}
-
-/* Works out who the service's homes are. */
-static void rank_service(struct rservice *v)
-{
-	unsigned order[HOMES_MAX];
-	unsigned i, n, n_ranked, n_homes;
-	struct home_candidate *list = list_candidates(v->relay, &n);
-	bool is_home;
-
-	n_ranked = rank(v, list, n, order);
-	n_homes = MIN(homes_wanted(v, n), n_ranked);
-	is_home = (n <= HOMES_MAX && homes_wanted(v, n) == n) ||
-		  (v->spare_us && v->relay->ticked_us < v->spare_us + SPARE_US);
-	g_ptr_array_set_size(v->homes, 0);
-	g_ptr_array_set_size(v->spares, 0);
-	for (i = 0; i < n_ranked; i++) {
-		const char *name = list[order[i]].name;
-
-		if (!is_self(v->relay, name))
-			g_ptr_array_add(i < n_homes ? v->homes : v->spares,
-					g_strdup(name));
-		else if (i < n_homes)
-			is_home = true;
-	}
-	v->homes_changed++;
-	g_free(list);
-	if (is_home && !v->is_home) {
+	log_home(v, n_proxies(v->relay));
+}
+
+/* Whether this proxy stands in for homes that others don't reach. */
+static bool is_spare_in_use(const struct rservice *v)
+{
+	return v->spare_us && v->relay->ticked_us < v->spare_us + SPARE_US;
+}
+
+static void end_home(struct rservice *v)
+{
+	unsigned i;
+
+	v->is_home = false;
+	if (v->servers->len)
+		log_home(v, n_proxies(v->relay));
+	for (i = 0; i < v->servers->len; i++)
+		rcn_close_idle(rservice_server(v, i));
+}
+
+/* Becomes a home of the service, or ends being one. */
+static void update_role(struct rservice *v)
+{
+	unsigned wanted = homes_wanted(v, n_proxies(v->relay));
+	bool is_home = v->rank.n_before < wanted || is_spare_in_use(v);
+
+	if (is_home && !v->is_home)
 		become_home(v);
-	} else if (v->is_home && !is_home) {
-		v->is_home = false;
-		log_home(v, n);
+	else if (v->is_home && !is_home)
+		end_home(v);
+}
+
+/*
+ * Lists the services whose servers must be looked after here: the rest of a
+ * large fleet's costs nothing between two changes.
+ */
+static void list_served(struct relay *r)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_ptr_array_set_size(r->served, 0);
+	g_hash_table_iter_init(&iter, r->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct rservice *v = value;
+
+		if ((v->is_home && v->configured) || rch_is_running(v))
+			g_ptr_array_add(r->served, v);
+	}
+}
+
+static void update_roles(struct relay *r)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, r->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		update_role(value);
+	list_served(r);
+}
+
+/* Copies the names of others; whether they differ from those before. */
+static bool copy_names(GPtrArray *to, const char *const *names, unsigned n,
+		       const char *self)
+{
+	unsigned i, n_others = 0;
+	bool differs = false;
+
+	for (i = 0; i < n; i++) {
+		if (!strcmp(names[i], self))
+			continue;
+		if (n_others == to->len)
+			g_ptr_array_add(to, NULL);
+		if (g_strcmp0(to->pdata[n_others], names[i])) {
+			g_free(to->pdata[n_others]);
+			to->pdata[n_others] = g_strdup(names[i]);
+			differs = true;
+		}
+		n_others++;
 	}
+	differs |= n_others < to->len;
+	g_ptr_array_set_size(to, (gint)n_others);
+	return differs;
+}
+
+/* Brings the names of the service's homes and spares up to date. */
+static void list_homes(struct rservice *v)
+{
+	const char *names[HOMES_MAX];
+	unsigned n_homes = homes_wanted(v, n_proxies(v->relay));
+	unsigned n = rrk_first(v, names, MIN(n_homes + SPARES, HOMES_MAX));
+
+	if (copy_names(v->homes, names, n_homes, v->relay->name))
+		v->homes_changed++;
+	copy_names(v->spares, names + n_homes, n - n_homes, v->relay->name);
+	v->homes_of = v->relay->peers_changed;
+}
+
+/* The names of the other homes. */
+GPtrArray *rpr_homes(struct rservice *v)
+{
+	if (v->homes_of != v->relay->peers_changed)
+		list_homes(v);
+	return v->homes;
+}
+
+/* The names of those next in rank; see via.c. */
+GPtrArray *rpr_spares(struct rservice *v)
+{
+	rpr_homes(v);
+	return v->spares;
+}
+
+/* A service that nobody knew before. */
+void rpr_on_service(struct rservice *v)
+{
+	rrk_init(v);
+	update_role(v);
 }
 
 /*
@@ -140,98 +201,181 @@
 	if (v->is_home && !v->spare_us)
 		return;
 	v->spare_us = now_us;
-	if (!v->is_home)
-		become_home(v);
+	if (v->is_home)
+		return;
+	become_home(v);
+	list_served(v->relay);
 }
 
 /* Spares that are not asked any more end being homes. */
 static void end_spares(struct relay *r, uint64_t now_us)
 {
-	GHashTableIter iter;
-	gpointer value;
+	bool ended = false;
+	unsigned i;
 
-	g_hash_table_iter_init(&iter, r->services);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct rservice *v = value;
+	for (i = 0; i < r->served->len; i++) {
+		struct rservice *v = g_ptr_array_index(r->served, i);
 
 		if (!v->spare_us || now_us < v->spare_us + SPARE_US ||
 		    rch_is_running(v))
 			continue;
 		v->spare_us = 0;
-		rank_service(v);
+		update_role(v);
+		ended = true;
 	}
+	if (ended)
+		list_served(r);
+}
+
+/* Another proxy. */
+struct rpeer {
+	struct relay_server_info info;
+	unsigned list; /* the last that named it */
+};
+
+static void peer_free(gpointer data)
+{
+	struct rpeer *p = data;
+
+	relay_server_info_clear(&p->info);
+	g_free(p);
+}
+
+/* An empty table of proxies, by name. */
+GHashTable *rpr_table(void)
+{
+	return g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+				     peer_free);
 }
 
-static void rank_all(struct relay *r)
+/* Another proxy by its name, NULL when it isn't listed. */
+const struct relay_server_info *rpr_find(const struct relay *r,
+					 const char *name)
+{
+	const struct rpeer *p = g_hash_table_lookup(r->peers, name);
+
+	return p ? &p->info : NULL;
+}
+
+static void each_service(struct relay *r, const char *name,
+			 void (*fn)(struct rservice *v, const char *name))
 {
 	GHashTableIter iter;
 	gpointer value;
 
 	g_hash_table_iter_init(&iter, r->services);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		rank_service(value);
+		fn(value, name);
 }
 
-static void free_info(gpointer data)
+static void add_peer(struct relay *r, const struct relay_server_info *info)
 {
-	struct relay_server_info *info = data;
+	struct rpeer *p = g_new0(struct rpeer, 1);
 
-	g_free(info->id);
-	g_free(info->service);
-	g_free(info->host);
-	g_free(info->zone);
-	g_free(info);
+	relay_server_info_copy(&p->info, info);
+	p->list = r->peers_lists;
+	g_hash_table_insert(r->peers, g_strdup(p->info.id), p);
+	each_service(r, p->info.id, rrk_on_come);
 }
 
-/* An empty table of proxies. */
-GPtrArray *rpr_table(void)
+static void take_peer(struct relay *r, const struct relay_server_info *info,
+		      uint64_t now_us)
 {
-	return g_ptr_array_new_with_free_func(free_info);
+	struct rpeer *p = g_hash_table_lookup(r->peers, info->id);
+
+	if (!p) {
+		add_peer(r, info);
+		return;
+	}
+	p->list = r->peers_lists;
+	if (relay_server_info_equal(&p->info, info))
+		return;
+	relay_server_info_replace(&p->info, info);
+	rvi_update_home(r, &p->info, now_us);
 }
 
-static GPtrArray *copy_peers(const struct relay *r,
-			     const struct relay_server_info *infos, unsigned n)
+static gboolean is_left_out(gpointer key, gpointer value, gpointer data)
 {
-	GPtrArray *list = rpr_table();
-	unsigned i;
-
-	for (i = 0; i < n; i++) {
-		struct relay_server_info *copy;
+	const struct rpeer *p = value;
+	struct relay *r = data;
 
-		if (is_self(r, infos[i].id))
-			continue;
-		copy = g_memdup2(&infos[i], sizeof(infos[i]));
-		copy->id = g_strdup(infos[i].id);
-		copy->service = NULL;
-		copy->host = g_strdup(infos[i].host);
-		copy->zone = g_strdup(infos[i].zone);
-		g_ptr_array_add(list, copy);
-	}
-	return list;
+	if (p->list == r->peers_lists)
+		return false;
+	each_service(r, key, rrk_on_gone);
+	return true;
 }
 
 static void log_peers(const struct relay *r, const char *event,
-		      const GPtrArray *list)
+		      unsigned n_others)
 {
 	struct log_line *l = log_event(LOG_STATE, event);
 
 	if (!l)
 		return;
-	log_u64(l, "others", list->len);
-	log_u64(l, "before", r->peers->len);
+	log_u64(l, "others", n_others);
+	log_u64(l, "before", g_hash_table_size(r->peers));
 	log_event_end(l);
 }
 
-static void take_peers(struct relay *r, GPtrArray *list, uint64_t now_us)
+static unsigned count_others(const struct relay *r,
+			     const struct relay_server_info *infos, unsigned n)
 {
-	log_peers(r, "proxies", list);
-	g_ptr_array_free(r->peers, TRUE);
-	r->peers = list;
-	rank_all(r);
+	unsigned i, n_others = 0;
+
+	for (i = 0; i < n; i++)
+		n_others += !is_self(r, infos[i].id);
+	return n_others;
+}
+
+/* Takes over what differs from the list before. */
+static void take_peers(struct relay *r, const struct relay_server_info *infos,
+		       unsigned n, uint64_t now_us)
+{
+	unsigned i;
+
+	log_peers(r, "proxies", count_others(r, infos, n));
+	r->peers_lists++;
+	for (i = 0; i < n; i++)
+		if (!is_self(r, infos[i].id))
+			take_peer(r, &infos[i], now_us);
+	g_hash_table_foreach_remove(r->peers, is_left_out, r);
+	r->peers_changed++;
+	update_roles(r);
 	rvi_list_all(r, now_us);
 	rrun_dispatch(r, now_us);
 }
 
+static void free_held(struct relay *r)
+{
+	unsigned i;
+
+	for (i = 0; i < r->n_held; i++)
+		relay_server_info_clear(&r->peers_held[i]);
+	g_clear_pointer(&r->peers_held, g_free);
+	r->n_held = 0;
+}
+
+static void hold_peers(struct relay *r, const struct relay_server_info *infos,
+		       unsigned n, uint64_t now_us)
+{
+	unsigned i;
+
+	log_peers(r, "proxies-held", count_others(r, infos, n));
+	r->peers_held = g_new(struct relay_server_info, n + 1);
+	for (i = 0; i < n; i++)
+		relay_server_info_copy(&r->peers_held[i], &infos[i]);
+	r->n_held = n;
+	r->peers_held_us = now_us;
+}
+
+/* Frees what is known of other proxies. */
+void rpr_clear(struct relay *r)
+{
+	free_held(r);
+	g_hash_table_destroy(r->peers);
+	g_ptr_array_unref(r->served);
+}
+
 /*
  * The proxies as they are now; this one is passed over.
  *
@@ -243,31 +387,31 @@
 void relay_on_peers(struct relay *r, const struct relay_server_info *infos,
 		    unsigned n_infos, uint64_t now_us)
 {
-	GPtrArray *list = copy_peers(r, infos, n_infos);
+	unsigned n_others = count_others(r, infos, n_infos);
 
 	feed_source_on_proxies(r->feed_source, infos, n_infos);
 	rgr_on_peers(r, infos, n_infos, now_us);
-	g_clear_pointer(&r->peers_held, g_ptr_array_unref);
-	if (list->len * 2 >= r->peers->len) {
-		take_peers(r, list, now_us);
-		return;
-	}
-	log_peers(r, "proxies-held", list);
-	r->peers_held = list;
-	r->peers_held_us = now_us;
+	free_held(r);
+	if (n_others * 2 >= g_hash_table_size(r->peers))
+		take_peers(r, infos, n_infos, now_us);
+	else
+		hold_peers(r, infos, n_infos, now_us);
 }
 
 /* Another configuration: the homes of its databases. */
 void rpr_on_catalog(struct relay *r, uint64_t now_us)
 {
-	rank_all(r);
+	r->peers_changed++; /* other limits, other homes */
+	update_roles(r);
 	rvi_list_all(r, now_us);
 }
 
 /* Believes a short list that nothing has followed. */
 void rpr_tick(struct relay *r, uint64_t now_us)
 {
-	if (r->peers_held && now_us > r->peers_held_us + PEERS_HELD_US)
-		take_peers(r, g_steal_pointer(&r->peers_held), now_us);
+	if (r->peers_held && now_us > r->peers_held_us + PEERS_HELD_US) {
+		take_peers(r, r->peers_held, r->n_held, now_us);
+		free_held(r);
+	}
 	end_spares(r, now_us);
 }
--- a/packages/relay/src/relay.c
+++ b/packages/relay/src/relay.c
@@ -89,6 +89,7 @@
 	r->sessions = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					    rss_destroy);
 	r->peers = rpr_table();
+	r->served = g_ptr_array_new();
 	r->feed_source = feed_source_create(r->name, r->zone);
 	if (settings->accounts)
 		feed_source_keep_young(r->feed_source,
@@ -127,9 +128,8 @@
 	g_hash_table_destroy(r->via);
 	rlm_clear(r);
 	g_hash_table_destroy(r->servers);
-	g_ptr_array_free(r->peers, TRUE);
+	rpr_clear(r);
 	feed_source_destroy(r->feed_source);
-	g_clear_pointer(&r->peers_held, g_ptr_array_unref);
 	relay_catalog_unref(r->catalog);
 	rmt_destroy(r->metrics);
 	g_free(r->duty_holder);
@@ -412,7 +412,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		if (rsv_is_up(value))
 			return true;
-	return r->peers->len && is_home_of_none(r);
+	return g_hash_table_size(r->peers) && is_home_of_none(r);
 }
 
 /* A planned stop begins. */
--- a/packages/relay/src/relay_internal.h
+++ b/packages/relay/src/relay_internal.h
@@ -6,12 +6,11 @@
  * servers, rcn_ their connections, rss_ callers' sessions, rrun_ the statement
  * that a session has in flight, rpk_ which server runs it, rld_ who is
  * primary, rwd_ whose word on that counts, rch_ its replacement, rfn_ the
- * fence of that, rdt_ the duty record, rtd_ what changes leave
- * behind, rco_
- * network partitions, rpr_ other proxies, rvi_ homes that sessions go through,
- * rac_ client accounts, rlm_ their limits, rgr_ who gives tokens of these, rol_
- * servers that fail in part, rcl_ limits of what is in flight at a server, rlg_
- * log lines, rmt_ metrics.
+ * fence of that, rdt_ the duty record, rtd_ what changes leave behind, rco_
+ * network partitions, rpr_ other proxies, rrk_ their ranks, rvi_ homes that
+ * sessions go through, rac_ client accounts, rlm_ their limits, rgr_ who gives
+ * tokens of these, rol_ servers that fail in part, rcl_ limits of what is in
+ * flight at a server, rlg_ log lines, rmt_ metrics.
  */
 
 #include <celeryquay/base/log_event.h>
@@ -166,6 +165,13 @@
 	struct position position;
 };
 
+/* This proxy's place among those that may be homes of a service. */
+struct rrank {
+	uint64_t seed; /* what the service's draws start from */
+	uint64_t draw; /* this proxy's */
+	unsigned n_before; /* proxies with a better one */
+};
+
 struct rservice {
 	struct relay *relay;
 	char *name;
@@ -176,8 +182,10 @@
 	bool act_armed;
 	bool stepped_down; /* the old primary said so */
 	unsigned n_samples;
-	GPtrArray *homes; /* names of the other homes */
-	GPtrArray *spares; /* names of those next in rank; see via.c */
+	struct rrank rank;
+	GPtrArray *homes; /* names; only rpr_homes() has them up to date */
+	GPtrArray *spares; /* names; the same with rpr_spares() */
+	unsigned homes_of; /* the relay's peers_changed that they are of */
 	uint64_t spare_us; /* as a spare, this proxy was asked last then */
 	unsigned homes_changed; /* how often; peers: when they were listed */
 	unsigned max_connections;
@@ -337,9 +345,13 @@
 	GHashTable *servers; /* id -> struct rserver */
 	GHashTable *conns; /* id -> struct rconn */
 	GHashTable *sessions; /* id -> struct rsession */
-	GPtrArray *peers; /* struct relay_server_info of other proxies */
+	GHashTable *peers; /* name -> struct rpeer: other proxies */
+	unsigned peers_lists; /* how many came */
+	unsigned peers_changed; /* how often homes may have changed */
+	GPtrArray *served; /* struct rservice to look after; see peer.c */
 	struct feed_source *feed_source;
-	GPtrArray *peers_held; /* a list that is not believed yet, or NULL */
+	struct relay_server_info *peers_held; /* a list not believed yet */
+	unsigned n_held;
 	uint64_t peers_held_us;
 	GHashTable
 		*via; /* database -> struct rservice whose servers are homes */
@@ -539,24 +551,36 @@
 			uint64_t now_us);
 
 /* peer.c */
-GPtrArray *rpr_table(void);
+GHashTable *rpr_table(void);
+void rpr_clear(struct relay *r);
+const struct relay_server_info *rpr_find(const struct relay *r,
+					 const char *name);
+GPtrArray *rpr_homes(struct rservice *v);
+GPtrArray *rpr_spares(struct rservice *v);
+void rpr_on_service(struct rservice *v);
 void rpr_on_asked(struct rservice *v, uint64_t now_us);
 void rpr_on_catalog(struct relay *r, uint64_t now_us);
 void rpr_tick(struct relay *r, uint64_t now_us);
 
+/* rank.c */
+void rrk_init(struct rservice *v);
+void rrk_on_come(struct rservice *v, const char *name);
+void rrk_on_gone(struct rservice *v, const char *name);
+unsigned rrk_first(const struct rservice *v, const char **names, unsigned max);
+
 /* via.c */
-const struct relay_server_info *rvi_find_peer(const struct relay *r,
-					      const char *name);
+void rvi_update_home(struct relay *r, const struct relay_server_info *p,
+		     uint64_t now_us);
 struct rserver *rvi_list_home(struct rservice *via,
 			      const struct relay_server_info *p,
 			      uint64_t now_us);
 void rvi_list_all(struct relay *r, uint64_t now_us);
 void rvi_tick(struct relay *r, uint64_t now_us);
-bool rvi_may_help(const struct rsession *s, const struct rservice *v,
+bool rvi_may_help(const struct rsession *s, struct rservice *v,
 		  uint64_t now_us);
 bool rvi_is_isolated(const struct relay *r, uint64_t now_us);
 bool rvi_has_no_home(const struct rsession *s, uint64_t now_us);
-bool rvi_is_cut_off(const struct rservice *v, uint64_t now_us);
+bool rvi_is_cut_off(struct rservice *v, uint64_t now_us);
 bool rvi_is_good_home(const struct rserver *s, uint64_t now_us);
 bool rvi_on_refused(const struct rsession *s, struct rserver *home);
 void rvi_choose(struct rsession *s, const struct relay_profile *profile,
--- a/packages/relay/src/rmetrics.c
+++ b/packages/relay/src/rmetrics.c
@@ -221,7 +221,7 @@
 	}
 	counter_set(r->metrics->servers, n);
 	counter_set(r->metrics->servers_down, down);
-	counter_set(r->metrics->proxies, r->peers->len);
+	counter_set(r->metrics->proxies, g_hash_table_size(r->peers));
 }
 
 static void set_services(const struct relay *r, uint64_t now_us)
--- a/packages/relay/src/server.c
+++ b/packages/relay/src/server.c
@@ -5,6 +5,7 @@
 #include "relay_internal.h"
 
 #include <celeryquay/base/log.h>
+#include <celeryquay/relay/server_list.h>
 
 #define PROBE_TIMEOUT_US (400 * USEC_PER_MSEC)
 #define REOPEN_US (150 * USEC_PER_MSEC)
@@ -17,24 +18,6 @@
 #define STATUS_US (10 * USEC_PER_SEC)
 #define LATENCY_FIRST_US (15 * USEC_PER_MSEC)
 
-static void info_copy(struct relay_server_info *to,
-		      const struct relay_server_info *from)
-{
-	*to = *from;
-	to->id = g_strdup(from->id);
-	to->service = g_strdup(from->service);
-	to->host = g_strdup(from->host);
-	to->zone = g_strdup(from->zone);
-}
-
-static void info_clear(struct relay_server_info *info)
-{
-	g_free(info->id);
-	g_free(info->service);
-	g_free(info->host);
-	g_free(info->zone);
-}
-
 /* A server that the platform lists; connections follow with the next tick. */
 struct rserver *rsv_create(struct rservice *service,
 			   const struct relay_server_info *info,
@@ -44,7 +27,7 @@
 
 	s->relay = service->relay;
 	s->service = service;
-	info_copy(&s->info, info);
+	relay_server_info_copy(&s->info, info);
 	s->listed = true;
 	s->listed_us = now_us;
 	s->leaving_us = now_us;
@@ -60,7 +43,7 @@
 {
 	struct rserver *s = server;
 
-	info_clear(&s->info);
+	relay_server_info_clear(&s->info);
 	g_free(s);
 }
 
@@ -138,24 +121,23 @@
 void rsv_update(struct rserver *s, const struct relay_server_info *info,
 		uint64_t now_us)
 {
-	struct relay_server_info old = s->info;
+	const struct relay_server_info *old = &s->info;
 	bool was_listed = s->listed;
 
 	/*
 	 * Failure: news of the process that had the id before comes late, and
 	 * its successor is taken for one that leaves.
 	 */
-	if (info->born_ms && info->born_ms < old.born_ms)
+	if (info->born_ms && info->born_ms < old->born_ms)
 		return;
-	if (old.born_ms && info->born_ms > old.born_ms &&
+	if (old->born_ms && info->born_ms > old->born_ms &&
 	    s->relay->guards.doubt_reborn)
 		start_anew(s, now_us);
-	if (info->leaving && !old.leaving)
+	if (info->leaving && !old->leaving)
 		s->leaving_us = now_us;
-	if (info->role != old.role || info->leaving != old.leaving)
+	if (info->role != old->role || info->leaving != old->leaving)
 		rsv_probe_soon(s);
-	info_copy(&s->info, info);
-	info_clear(&old);
+	relay_server_info_replace(&s->info, info);
 	s->listed = !info->unusable;
 	/* Others may have given it up meanwhile, and not have paused it. */
 	if (s->listed && !was_listed)
--- a/packages/relay/src/server_list.c
+++ b/packages/relay/src/server_list.c
@@ -5,15 +5,55 @@
 	bool changed;
 };
 
-/* NULL is ignored. */
-void relay_server_info_free(struct relay_server_info *info)
+/* The copy owns its strings. */
+void relay_server_info_copy(struct relay_server_info *to,
+			    const struct relay_server_info *from)
+{
+	*to = *from;
+	to->id = g_strdup(from->id);
+	to->service = g_strdup(from->service);
+	to->host = g_strdup(from->host);
+	to->zone = g_strdup(from->zone);
+}
+
+/* Frees what a copy owns, not the struct itself. */
+void relay_server_info_clear(struct relay_server_info *info)
 {
-	if (!info)
-		return;
 	g_free(info->id);
 	g_free(info->service);
 	g_free(info->host);
 	g_free(info->zone);
+}
+
+/* `from` may point into what `to` has. */
+void relay_server_info_replace(struct relay_server_info *to,
+			       const struct relay_server_info *from)
+{
+	struct relay_server_info old = *to;
+
+	relay_server_info_copy(to, from);
+	relay_server_info_clear(&old);
+}
+
+/* Whether both say the same in each field. */
+bool relay_server_info_equal(const struct relay_server_info *a,
+			     const struct relay_server_info *b)
+{
+	return !g_strcmp0(a->id, b->id) && !g_strcmp0(a->host, b->host) &&
+	       !g_strcmp0(a->service, b->service) &&
+	       !g_strcmp0(a->zone, b->zone) && a->port == b->port &&
+	       a->leaving == b->leaving && a->role == b->role &&
+	       a->slots == b->slots && a->born_ms == b->born_ms &&
+	       a->unusable == b->unusable && a->feed_port == b->feed_port &&
+	       a->mbps == b->mbps;
+}
+
+/* NULL is ignored. */
+void relay_server_info_free(struct relay_server_info *info)
+{
+	if (!info)
+		return;
+	relay_server_info_clear(info);
 	g_free(info);
 }
 
--- a/packages/relay/src/via.c
+++ b/packages/relay/src/via.c
@@ -28,22 +28,6 @@
 #define MIND_US (200 * USEC_PER_MSEC)
 #define WANTED_US (3 * USEC_PER_SEC) /* a database was asked for */
 
-/* Another proxy by its name, NULL when it isn't listed. */
-const struct relay_server_info *rvi_find_peer(const struct relay *r,
-					      const char *name)
-{
-	unsigned i;
-
-	for (i = 0; i < r->peers->len; i++) {
-		const struct relay_server_info *p =
-			g_ptr_array_index(r->peers, i);
-
-		if (!strcmp(p->id, name))
-			return p;
-	}
-	return NULL;
-}
-
 /* Those near first; among them each proxy prefers others. */
 static uint64_t preference(const struct relay *r,
 			   const struct relay_server_info *p)
@@ -67,7 +51,7 @@
 
 	for (i = 0; i < names->len; i++) {
 		const struct relay_server_info *p =
-			rvi_find_peer(v->relay, g_ptr_array_index(names, i));
+			rpr_find(v->relay, g_ptr_array_index(names, i));
 
 		for (j = 0; p && j < via->servers->len; j++) {
 			const struct rserver *s = rservice_server(via, j);
@@ -116,14 +100,15 @@
 	}
 }
 
-static void list_homes(struct rservice *via, const struct rservice *v,
+static void list_homes(struct rservice *via, struct rservice *v,
 		       uint64_t now_us)
 {
+	const GPtrArray *homes = rpr_homes(v);
 	unsigned i;
 
 	unlist_homes(via, now_us);
 	for (i = 0; i < VIA_HOMES; i++) {
-		const struct relay_server_info *p = next_of(v->homes, v, via);
+		const struct relay_server_info *p = next_of(homes, v, via);
 
 		if (!p)
 			break;
@@ -132,6 +117,34 @@
 	via->homes_changed = v->homes_changed;
 }
 
+/* Whether the service's homes are others than those that are listed. */
+static bool are_homes_other(const struct rservice *via, struct rservice *v)
+{
+	rpr_homes(v);
+	return via->homes_changed != v->homes_changed;
+}
+
+/* A proxy has another address now. */
+void rvi_update_home(struct relay *r, const struct relay_server_info *p,
+		     uint64_t now_us)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, r->via);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct rservice *via = value;
+		unsigned i;
+
+		for (i = 0; i < via->servers->len; i++) {
+			struct rserver *s = rservice_server(via, i);
+
+			if (s->listed && !strcmp(s->info.id, p->id))
+				rvi_list_home(via, p, now_us);
+		}
+	}
+}
+
 /*
  * Failure: a database isn't asked for here any more, or was taken out of the
  * configuration; its homes stay listed, and one that stopped, or that refuses
@@ -145,12 +158,12 @@
 	g_hash_table_iter_init(&iter, r->via);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct rservice *via = value;
-		const struct rservice *v = rls_service_of(r, via->name);
+		struct rservice *v = rls_service_of(r, via->name);
 
-		if (v)
-			list_homes(via, v, now_us);
-		else
+		if (!v)
 			unlist_homes(via, now_us);
+		else if (are_homes_other(via, v))
+			list_homes(via, v, now_us);
 	}
 }
 
@@ -184,7 +197,7 @@
  * where no home is reached, the proxies next in rank are asked, which are the
  * same for all on this side and become homes for that.
  */
-static void mind_homes(struct rservice *via, const struct rservice *v,
+static void mind_homes(struct rservice *via, struct rservice *v,
 		       uint64_t now_us)
 {
 	const struct relay_server_info *p;
@@ -202,9 +215,9 @@
 	}
 	if (n_good >= VIA_HOMES || n_listed >= VIA_HOMES_MOST)
 		return;
-	p = next_of(v->homes, v, via);
+	p = next_of(rpr_homes(v), v, via);
 	if (!p && !is_reached(via))
-		p = next_of(v->spares, v, via);
+		p = next_of(rpr_spares(v), v, via);
 	if (p)
 		rvi_list_home(via, p, now_us);
 }
@@ -236,7 +249,7 @@
 	g_hash_table_iter_init(&iter, r->via);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct rservice *via = value;
-		const struct rservice *v = rls_service_of(r, via->name);
+		struct rservice *v = rls_service_of(r, via->name);
 
 		if (!v || v->is_home || now_us > via->wanted_us + WANTED_US)
 			continue;
@@ -291,7 +304,7 @@
 		via->peers = true;
 		g_hash_table_insert(r->via, via->name, via);
 	}
-	if (via->homes_changed != v->homes_changed)
+	if (are_homes_other(via, v))
 		list_homes(via, v, now_us);
 	return via;
 }
@@ -310,10 +323,9 @@
 }
 
 /* Whether a run of a caller's may go through another proxy. */
-bool rvi_may_help(const struct rsession *s, const struct rservice *v,
-		  uint64_t now_us)
+bool rvi_may_help(const struct rsession *s, struct rservice *v, uint64_t now_us)
 {
-	return !s->peer && v->homes->len && s->run.tries < HELP_TRIES &&
+	return !s->peer && rpr_homes(v)->len && s->run.tries < HELP_TRIES &&
 	       others_may_reach(v, now_us);
 }
 
@@ -347,9 +359,9 @@
  * queue's turn, while other homes serve. Guard: such a home says so, which
  * ordinary load never does, and the statement goes to another one.
  */
-bool rvi_is_cut_off(const struct rservice *v, uint64_t now_us)
+bool rvi_is_cut_off(struct rservice *v, uint64_t now_us)
 {
-	if (!v->homes->len || !v->primary || !others_may_reach(v, now_us))
+	if (!rpr_homes(v)->len || !v->primary || !others_may_reach(v, now_us))
 		return false;
 	return (v->in_vain_us && now_us > v->in_vain_us + HELP_AFTER_US) ||
 	       is_known_to_fail(v, now_us);
--- a/packages/relay/tests/test_homes.c
+++ b/packages/relay/tests/test_homes.c
@@ -160,7 +160,7 @@
 	struct relay *r = f->relays[0].relay;
 	struct relay_server_info infos[80] = { 0 };
 	struct relay_catalog *c = catalog_of(limits[_i][0]);
-	const struct rservice *v;
+	struct rservice *v;
 	unsigned i;
 
 	for (i = 0; i < G_N_ELEMENTS(infos); i++) {
@@ -171,7 +171,7 @@
 	relay_on_catalog(r, c, f->now_us);
 	relay_on_peers(r, infos, G_N_ELEMENTS(infos), f->now_us);
 	v = g_hash_table_lookup(r->services, "group0");
-	ck_assert_uint_eq(v->homes->len + v->is_home, limits[_i][1]);
+	ck_assert_uint_eq(rpr_homes(v)->len + v->is_home, limits[_i][1]);
 	for (i = 0; i < G_N_ELEMENTS(infos); i++)
 		g_free(infos[i].id);
 	relay_catalog_unref(c);
@@ -458,7 +458,7 @@
 	}
 	ck_assert_uint_gt(n_left, 0);
 	v = g_hash_table_lookup(f->relays[relay].relay->services, "group0");
-	g_ptr_array_set_size(v->spares, 0);
+	g_ptr_array_set_size(rpr_spares(v), 0);
 	for (i = 0; i < 100; i++) {
 		if (s->open)
 			hist_run(f, s, RELAY_READ, "", "1");
--- /dev/null
+++ b/packages/relay/tests/test_rank.c
@@ -0,0 +1,157 @@
+/*
+ * Who the homes of a service are, while proxies come and go.
+ */
+#include "support_history.h"
+
+#include <celeryquay/core/homes.h>
+#include <celeryquay/suite.h>
+#include <string.h>
+
+#define PROXIES 200
+#define CHANGES 60
+#define SELF 0
+#define WIDE_LIMIT 80 /* connections at a server: 16 homes */
+
+static char names[PROXIES][16];
+
+static struct relay_server_info info_of(unsigned i)
+{
+	return (struct relay_server_info){ .id = names[i],
+					   .host = (char *)"127.0.0.1",
+					   .zone = (char *)"" };
+}
+
+static void name_all(const struct fake *f)
+{
+	unsigned i;
+
+	g_strlcpy(names[SELF], f->relays[0].relay->name, sizeof(names[SELF]));
+	for (i = SELF + 1; i < PROXIES; i++)
+		g_snprintf(names[i], sizeof(names[i]), "other-%u", i);
+}
+
+static void configure(struct fake *f)
+{
+	struct relay_catalog *c = relay_catalog_create(99, 0);
+	struct relay_service_conf conf = { .name = (char *)"group0",
+					   .max_connections = WIDE_LIMIT };
+
+	relay_catalog_add_service(c, &conf);
+	relay_on_catalog(f->relays[0].relay, c, f->now_us);
+	relay_catalog_unref(c);
+}
+
+static void tell(struct fake *f, const bool *listed)
+{
+	struct relay_server_info infos[PROXIES];
+	unsigned i, n = 0;
+
+	for (i = 0; i < PROXIES; i++)
+		if (listed[i])
+			infos[n++] = info_of(i);
+	relay_on_peers(f->relays[0].relay, infos, n, f->now_us);
+}
+
+/* The first of those that are listed, as the product ranks them. */
+static unsigned rank_all(const bool *listed, const char **first, unsigned max)
+{
+	struct database_conf db = { .service = (char *)"group0",
+				    .name = (char *)"group0" };
+	struct home_candidate all[PROXIES];
+	unsigned order[PROXIES], i, n = 0;
+
+	for (i = 0; i < PROXIES; i++)
+		if (listed[i] || i == SELF)
+			all[n++] = (struct home_candidate){ names[i], "", "",
+							    false };
+	n = homes_rank(&db, all, n, order, max);
+	for (i = 0; i < n; i++)
+		first[i] = all[order[i]].name;
+	return n;
+}
+
+static void check_names(const GPtrArray *names_of, const char *const *expected,
+			unsigned n)
+{
+	unsigned i, at = 0;
+
+	for (i = 0; i < n; i++) {
+		if (!strcmp(expected[i], names[SELF]))
+			continue;
+		ck_assert_uint_lt(at, names_of->len);
+		ck_assert_str_eq(names_of->pdata[at++], expected[i]);
+	}
+	ck_assert_uint_eq(at, names_of->len);
+}
+
+static void check_homes(struct fake *f, const bool *listed)
+{
+	struct rservice *v =
+		g_hash_table_lookup(f->relays[0].relay->services, "group0");
+	const char *expected[20];
+	bool is_home = false;
+	unsigned i, n = rank_all(listed, expected, 20);
+
+	for (i = 0; i < 16; i++)
+		is_home |= !strcmp(expected[i], names[SELF]);
+	ck_assert_uint_eq(n, 20);
+	ck_assert_int_eq(v->is_home, is_home);
+	check_names(rpr_homes(v), expected, 16);
+	check_names(rpr_spares(v), expected + 16, 4);
+}
+
+/* Fails when proxies disagree on homes after a list that changed in parts. */
+START_TEST(homes_follow_each_change_of_the_list)
+{
+	struct fake *f = fake_create((uint32_t)_i, 1, 1);
+	bool listed[PROXIES];
+	unsigned i, k;
+
+	name_all(f);
+	configure(f);
+	for (i = 0; i < PROXIES; i++)
+		listed[i] = fake_chance(f, 0.7);
+	tell(f, listed);
+	for (i = 0; i < CHANGES; i++) {
+		for (k = 0; k < 5; k++) {
+			unsigned at =
+				(unsigned)fake_random(f, 0, PROXIES) % PROXIES;
+
+			listed[at] = !listed[at];
+		}
+		tell(f, listed);
+		check_homes(f, listed);
+	}
+	fake_destroy(f);
+}
+END_TEST
+
+/* Fails when a proxy goes on to an address that another one has left. */
+START_TEST(a_proxy_is_found_at_its_new_address)
+{
+	struct fake *f = fake_create(1, 1, 1);
+	struct relay *r = f->relays[0].relay;
+	struct relay_server_info moved[2];
+
+	name_all(f);
+	configure(f);
+	moved[0] = info_of(1);
+	moved[1] = info_of(2);
+	relay_on_peers(r, moved, 2, f->now_us);
+	moved[1].host = (char *)"127.0.0.2";
+	relay_on_peers(r, moved, 2, f->now_us);
+	ck_assert_str_eq(rpr_find(r, names[2])->host, "127.0.0.2");
+	ck_assert_str_eq(rpr_find(r, names[1])->host, "127.0.0.1");
+	ck_assert_ptr_null(rpr_find(r, names[SELF]));
+	fake_destroy(f);
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tc = tcase_create("rank");
+
+	tcase_add_loop_test(tc, homes_follow_each_change_of_the_list, 1, 11);
+	tcase_add_test(tc, a_proxy_is_found_at_its_new_address);
+	return suite_main("rank", tc);
+}
