feed-source: a watcher sends what the store's link could not carry to all

What callers would see: a configuration of 0.6 MB for 1,000 databases is larger than what a watcher sends in 0.25 s, so each of 984 followers reads it at the store: 790 MB over one link of 1,000 Mbit/s, 6.3 s by arithmetic, of 8 s that a configuration may take.

Cause: the limit knew the watcher's link alone. The store's serves all proxies at once, a watcher's at most 64 followers. Where the watcher's link is the wider one for each proxy that uses it, it now sends what fits 1 s: 1.4 MB at 1,000 Mbit/s and 64 followers. For narrow links nothing changes: 10 Mbit/s for 64 is narrower than 1,000 for 400. At twice the fleet the followers of a watcher stay 64, and the store's share halves, so the choice only gets clearer.

The test fails before: 366,210 bytes where 600 KB are wanted.

--- a/packages/relay/src/feed_source.c
+++ b/packages/relay/src/feed_source.c
@@ -19,7 +19,11 @@
 #define PROXIES_A_WATCHER 64
 /* A new value may fill the link of a watcher for so long. */
 #define VALUE_MS 250
+/* The same where the store's link would be full for longer. */
+#define VALUE_MOST_MS 1000
 #define BYTES_PER_MS_OF_MBPS 125
+/* Of the store, which says nothing of it. */
+#define STORE_MBPS 1000
 /* Values are sent as text, four characters for three bytes. */
 #define TEXT_CHARS 4
 #define TEXT_BYTES 3
@@ -535,13 +539,26 @@
 	return MIN(near, PROXIES_A_WATCHER);
 }
 
+/*
+ * Failure: hundreds of proxies read a large configuration from the store at
+ * once, and its link is full for longer than the configuration may take, while
+ * each watcher has as wide a link for a few of them.
+ */
+static bool is_wider_than_the_store(const struct feed_source *f)
+{
+	unsigned n = f->proxies->len + 1;
+
+	return f->is_shared && f->mbps * n >= STORE_MBPS * followers(f);
+}
+
 /*
  * What a watcher may send of a new value. A small one spares its followers a
  * call to the store each, and reaches those that the store doesn't answer.
  */
 size_t feed_source_value_max(const struct feed_source *f)
 {
-	size_t bytes = (size_t)f->mbps * BYTES_PER_MS_OF_MBPS * VALUE_MS;
+	unsigned ms = is_wider_than_the_store(f) ? VALUE_MOST_MS : VALUE_MS;
+	size_t bytes = (size_t)f->mbps * BYTES_PER_MS_OF_MBPS * ms;
 
 	return bytes / followers(f) * TEXT_BYTES / TEXT_CHARS;
 }
--- a/packages/relay/tests/test_feed_source.c
+++ b/packages/relay/tests/test_feed_source.c
@@ -171,6 +171,30 @@
 }
 END_TEST
 
+/* Fails when a whole fleet reads a large configuration at the store at once. */
+START_TEST(a_store_is_spared_where_watchers_are_wider)
+{
+	static const struct {
+		unsigned proxies, mbps;
+		size_t least, most; /* bytes that a watcher sends */
+	} cases[] = {
+		{ 400, 1000, 600 * 1024, 2048 * 1024 },
+		{ 400, 10, 0, 10 * 1024 },
+		{ 40, 200, 0, 600 * 1024 },
+	};
+	struct feed_source *f;
+	size_t bytes;
+
+	list(cases[_i].proxies);
+	infos[0].mbps = cases[_i].mbps;
+	f = start(0, cases[_i].proxies);
+	bytes = feed_source_value_max(f);
+	ck_assert_uint_ge(bytes, cases[_i].least);
+	ck_assert_uint_le(bytes, cases[_i].most);
+	feed_source_destroy(f);
+}
+END_TEST
+
 /*
  * The operators drop a route. The watcher of this hall is cut off from the
  * store, and every proxy that asks it would serve the route on and on.
@@ -386,6 +410,8 @@
 	tcase_add_test(tc, the_order_of_a_list_does_not_matter);
 	tcase_add_test(tc, a_very_large_fleet_shares_a_few_watchers);
 	tcase_add_test(tc, what_is_sent_goes_by_the_link);
+	tcase_add_loop_test(tc, a_store_is_spared_where_watchers_are_wider, 0,
+			    3);
 	tcase_add_test(tc, a_watcher_that_is_behind_is_left);
 	tcase_add_test(tc, what_is_missing_is_asked_for_once);
 	tcase_add_test(tc, a_silent_store_is_asked_again_and_again);
