kv-follow: a proxy that starts reads from a watcher what a page names

What callers would see: after a mass kill each proxy reads everything from the store, 2.3 MB with 4,000 entries and the configuration. For 540 of 984 that is 1.2 GB, ten seconds of the store's link, in which none of them serves.

The first page of a large store holds the proxies, since keys come in order. Now the rest is asked from the watcher that it names; where both have just started, the watcher answers once it has read all itself, within 0.8 s, and where it doesn't, the store is read on as before. A store of one page is read as before, with the same calls.

Ways weighed: a first call for the proxies alone (a call and 4 ms more for each start of a small fleet); taken: the page that comes anyway.

Tests: one call to the store, with the watcher up or just started (failed before: the follower read both pages), and a watcher that never answers. The second found that news of the store answered those that wait for a start with 503.

--- a/packages/transport/include/celeryquay/transport/kv_follow.h
+++ b/packages/transport/include/celeryquay/transport/kv_follow.h
@@ -74,6 +74,11 @@
 	void (*gone)(void *ctx, const char *key, uint64_t revision);
 	/* What was told so far belongs together; at: the store's revision. */
 	void (*settled)(void *ctx, uint64_t at);
+	/*
+	 * The first page of the first range was told, and others follow; whom
+	 * they are asked from may go by it.
+	 */
+	void (*first_page)(void *ctx);
 	/*
 	 * Asked before each call; base is copied. reads_all: the call is to
 	 * read all where the source stays the same.
--- a/packages/transport/src/kv_feed.c
+++ b/packages/transport/src/kv_feed.c
@@ -24,6 +24,8 @@
 /* Changes that are kept; who is further behind reads all. */
 #define CHANGES_MAX 4096
 #define WAIT_MAX_MS 5000
+/* Shorter than a follower waits for the beginning of an answer. */
+#define START_WAIT_MS 800
 /* Between two answers of the store; one of a calm day comes sooner. */
 #define SILENCE_US (1500 * USEC_PER_MSEC)
 /* A cursor is this process's number above the count of changes. */
@@ -44,7 +46,8 @@
 struct waiter {
 	struct kv_feed *feed;
 	struct ready_wait *wait;
-	uint64_t after;
+	bool reads_all; /* came before all was read here */
+	uint64_t after; /* this cursor; reads_all: this revision */
 	uint64_t asked_us; /* of the boot clock */
 	uv_timer_t timer;
 	GList link;
@@ -272,10 +275,16 @@
 	struct ready_wait *wait = w->wait;
 	struct kv_feed *f = w->feed;
 	uint64_t after = w->after, asked_us = w->asked_us;
+	bool reads_all = w->reads_all;
 
 	ready_on_gone(wait, NULL, NULL);
 	forget(w);
-	answer_changes(f, wait, asked_us, after);
+	if (!f->settled)
+		ready_answer(wait, HTTP_UNAVAILABLE, STR(""));
+	else if (reads_all)
+		answer_since(f, wait, after);
+	else
+		answer_changes(f, wait, asked_us, after);
 }
 
 static void on_timer(uv_timer_t *timer)
@@ -289,12 +298,13 @@
 }
 
 static void wait_for_news(struct kv_feed *f, struct ready_wait *wait,
-			  uint64_t after, uint64_t wait_ms)
+			  bool reads_all, uint64_t after, uint64_t wait_ms)
 {
 	struct waiter *w = g_new0(struct waiter, 1);
 
 	w->feed = f;
 	w->wait = wait;
+	w->reads_all = reads_all;
 	w->after = after;
 	w->asked_us = clock_boot_us();
 	w->link.data = w;
@@ -310,11 +320,13 @@
 {
 	GList *l, *next;
 
+	if (!f->settled)
+		return;
 	for (l = f->waiters.head; l; l = next) {
 		struct waiter *w = l->data;
 
 		next = l->next;
-		if (all || w->after != cursor(f))
+		if (all || w->reads_all || w->after != cursor(f))
 			serve(w);
 	}
 }
@@ -374,15 +386,24 @@
 	       n <= f->first + f->changes->len;
 }
 
+/* Where both proxies have just started, it waits until all was read here. */
+static void ask_all(struct kv_feed *f, struct ready_wait *wait, uint64_t since)
+{
+	if (f->settled)
+		answer_since(f, wait, since);
+	else
+		wait_for_news(f, wait, true, since, START_WAIT_MS);
+}
+
 /* A call of another proxy. */
 void kv_feed_ask(struct kv_feed *f, struct str query, struct ready_wait *wait)
 {
 	uint64_t after, since, wait_ms;
 
-	if (!f->settled)
+	if (query_number(query, "since", &since))
+		ask_all(f, wait, since);
+	else if (!f->settled)
 		ready_answer(wait, HTTP_UNAVAILABLE, STR(""));
-	else if (query_number(query, "since", &since))
-		answer_since(f, wait, since);
 	else if (!query_number(query, "after", &after) ||
 		 !query_number(query, "waitMs", &wait_ms))
 		ready_answer(wait, HTTP_BAD, STR(""));
@@ -391,7 +412,7 @@
 	else if (after != cursor(f))
 		answer_changes(f, wait, clock_boot_us(), after);
 	else
-		wait_for_news(f, wait, after, wait_ms);
+		wait_for_news(f, wait, false, after, wait_ms);
 }
 
 /*
--- a/packages/transport/src/kv_follow.c
+++ b/packages/transport/src/kv_follow.c
@@ -239,6 +239,12 @@
 	f->events->settled(f->ctx, f->known_at);
 }
 
+/* Nothing was read to its end yet, and the store is asked. */
+static bool is_at_start(const struct kv_follow *f)
+{
+	return !f->known_at && !f->feed;
+}
+
 /*
  * Pages are no snapshot. The watch goes on from the first page's revision,
  * so what changed between the pages is told once more.
@@ -256,8 +262,11 @@
 		f->page = g_steal_pointer(&f->last);
 	/* What is sent twice could not be told from the next page. */
 	f->source.repeat_ms = 0;
-	if (f->page)
+	if (f->page) {
+		if (is_at_start(f))
+			f->events->first_page(f->ctx);
 		return;
+	}
 	end_range(f);
 	tell_known(f, answer, f->range_us);
 }
@@ -437,15 +446,23 @@
 		g_clear_pointer(&f->left_feed, g_free);
 }
 
-/* The pages of a range are all of one source. */
+/*
+ * The pages of a range are all of one source, but for the first one: it may
+ * have named another proxy that has all of it.
+ *
+ * Failure: hundreds of proxies start at once and read everything from the
+ * store. Its link is full for many seconds, in which none of them can serve.
+ */
 static void choose_source(struct kv_follow *f)
 {
-	if (f->page)
+	if (f->page && !is_at_start(f))
 		return;
 	/* Until it has answered: the proxy won't tell of the value again. */
 	if (f->owed)
 		f->events->missing(f->ctx);
 	f->events->source(f->ctx, !f->cursor, &f->source);
+	if (f->page)
+		f->source.repeat_ms = 0;
 	change_source(f, f->source.base);
 }
 
--- a/packages/transport/tests/support_kv.c
+++ b/packages/transport/tests/support_kv.c
@@ -32,8 +32,8 @@
 
 static char *range_url(const char *base, const char *page)
 {
-	(void)page;
-	return g_strdup_printf("%s/store?after=0", base);
+	return g_strdup_printf("%s/store?after=0%s", base,
+			       page ? "&page=2" : "");
 }
 
 static char *watch_url(const char *base, uint64_t at, unsigned wait_ms)
@@ -63,15 +63,16 @@
 {
 	char *text = str_dup(body);
 	char **lines = g_strsplit(text, "\n", -1);
-	int partial = 0;
+	int partial = 0, more = 0;
 	unsigned i;
 	bool ok = sscanf(lines[0] ? lines[0] : "",
 			 "%" G_GUINT64_FORMAT " %" G_GUINT64_FORMAT
-			 " %" G_GUINT64_FORMAT " %d %" G_GINT64_FORMAT,
+			 " %" G_GUINT64_FORMAT " %d %" G_GINT64_FORMAT " %d",
 			 &answer->at, &answer->cursor, &answer->age_us,
-			 &partial, &answer->known_us) >= 4;
+			 &partial, &answer->known_us, &more) >= 4;
 
 	answer->partial = partial;
+	answer->more = more;
 	for (i = 1; ok && lines[i] && *lines[i]; i++) {
 		char **words = g_strsplit(lines[i], " ", 3);
 		struct kv_item item = {
@@ -171,14 +172,16 @@
 }
 
 /* What changed after a revision; all for 0; of one key alone if it is given. */
-static GString *rows_after(uint64_t after, const char *only)
+static GString *rows_after(uint64_t after, const char *only, bool more)
 {
 	GString *out = g_string_new(NULL);
 	GHashTableIter iter;
 	gpointer key, value;
 
-	g_string_append_printf(out, "%" G_GUINT64_FORMAT " 0 0 0\n",
-			       rig.revision);
+	g_string_append_printf(out,
+			       "%" G_GUINT64_FORMAT " 0 0 0 %" G_GINT64_FORMAT
+			       " %d\n",
+			       rig.revision, INT64_MIN, more);
 	g_hash_table_iter_init(&iter, rig.rows);
 	while (g_hash_table_iter_next(&iter, &key, &value)) {
 		const struct row *r = value;
@@ -218,6 +221,7 @@
 	char *text = str_dup(query);
 	const char *key =
 		g_str_has_prefix(text, "key=") ? text + strlen("key=") : NULL;
+	bool is_first = p->is_paged && !strstr(text, "page=");
 	uint64_t after = 0;
 	GString *out;
 
@@ -237,7 +241,8 @@
 		g_free(text);
 		return;
 	}
-	out = rows_after(after, key);
+	is_first = is_first && !after;
+	out = rows_after(after, is_first ? "op/config" : key, is_first);
 	g_free(text);
 	if (p->store == KV_RIG_CUT)
 		g_string_truncate(out, 1);
@@ -384,10 +389,20 @@
 		feed_source_on_missing(p->decides);
 }
 
+static void on_first_page(void *ctx)
+{
+	struct proxy *p = ctx;
+
+	if (p->learns)
+		p->asks = rig.watcher.url;
+	p->learns = false;
+}
+
 static const struct kv_events events = {
 	.set = on_set,
 	.gone = on_gone,
 	.settled = on_settled,
+	.first_page = on_first_page,
 	.source = on_source,
 	.heard = on_heard,
 	.fed = on_fed,
@@ -487,6 +502,15 @@
 	start_proxies();
 }
 
+void kv_rig_start_together(enum kv_rig_mode mode)
+{
+	start_store();
+	rig.watcher.store = mode;
+	rig.follower.is_paged = rig.follower.learns = true;
+	start_proxy(&rig.watcher, "/w", NULL);
+	start_proxy(&rig.follower, "/f", NULL);
+}
+
 void kv_rig_start_fleet(unsigned n_proxies)
 {
 	start_store();
--- a/packages/transport/tests/support_kv.h
+++ b/packages/transport/tests/support_kv.h
@@ -43,6 +43,8 @@
 	struct feed_source *decides; /* whom it asks; NULL: `asks` */
 	const char *asks; /* the other's URL; NULL: the store */
 	bool asks_once; /* the store */
+	bool is_paged; /* the store's range has a second page */
+	bool learns; /* of the watcher from the first page */
 	bool mute; /* it answers nobody */
 	GQueue muted; /* struct ready_wait */
 	unsigned n_settled, n_heard, n_lost, n_fed, n_left, n_missing;
@@ -72,6 +74,11 @@
 extern const struct kv_codec kv_rig_codec;
 
 void kv_rig_start(void);
+/*
+ * Both at once, while the store answers the watcher in this way. The follower
+ * learns of the watcher from the first of two pages.
+ */
+void kv_rig_start_together(enum kv_rig_mode mode);
 /*
  * As kv_rig_start(), with the proxies' own decisions on whom to ask, as in a
  * fleet of so many.
--- a/packages/transport/tests/test_kv_feed.c
+++ b/packages/transport/tests/test_kv_feed.c
@@ -29,6 +29,32 @@
 }
 END_TEST
 
+/* Fails when each of many proxies that start reads all from the store. */
+START_TEST(a_start_reads_one_page_of_the_store)
+{
+	kv_rig_start_together(_i ? KV_RIG_LATE : KV_RIG_ANSWERS);
+	kv_rig_expect("servers/a", "up");
+	kv_rig_expect("servers/b", "up");
+	kv_rig_expect("op/config", "one");
+	ck_assert_uint_eq(rig.follower.store_calls, 1);
+	ck_assert_uint_eq(rig.follower.n_left, 0);
+	kv_rig_put("servers/b", NULL);
+	kv_rig_expect("servers/b", NULL);
+	kv_rig_end();
+}
+END_TEST
+
+/* Fails when a proxy that starts waits for a watcher that has nothing. */
+START_TEST(a_start_goes_on_with_the_store_without_a_watcher)
+{
+	kv_rig_start_together(KV_RIG_SILENT);
+	kv_rig_expect("servers/a", "up");
+	kv_rig_expect("servers/b", "up");
+	ck_assert_uint_eq(rig.follower.n_left, 1);
+	kv_rig_end();
+}
+END_TEST
+
 static bool fed_often(void *ctx)
 {
 	(void)ctx;
@@ -270,6 +296,8 @@
 	tcase_add_test(tc,
 		       a_value_that_the_link_carries_comes_from_the_watcher);
 	tcase_add_test(tc, a_large_value_is_asked_for_until_it_comes);
+	tcase_add_loop_test(tc, a_start_reads_one_page_of_the_store, 0, 2);
+	tcase_add_test(tc, a_start_goes_on_with_the_store_without_a_watcher);
 	tcase_add_test(tc, the_store_is_not_asked);
 	tcase_add_test(tc, an_end_between_two_calls_leaves_none);
 	tcase_add_test(tc, a_silent_watcher_is_left_for_the_store);
