session-front: accept the callers that wait before the listener ends

A connection that stands and waits to be accepted is reset by that, with what was sent on it. Ruled out: the end of the process (3 s and later), a session at rest that is hung up (it has a linger of 2 s and is read before).

Now the listener ends in a turn in which no connection waits. One that comes in the microseconds between that look and the end can still be reset.

Test: a connection stands, the listener is told to stop: reset before, served after.

--- a/packages/transport/src/session_front.c
+++ b/packages/transport/src/session_front.c
@@ -4,6 +4,8 @@
 #include <celeryquay/base/log.h>
 #include <celeryquay/transport/listen.h>
 
+#include <poll.h>
+
 #define LISTEN_BACKLOG 1024
 #define PENDING_MAX_BYTES ((size_t)64 * 1024)
 #define QUEUED_MAX_BYTES ((size_t)4 * 1024 * 1024)
@@ -19,6 +21,8 @@
 struct session_front {
 	struct session_group group;
 	uv_tcp_t listener;
+	uv_check_t last_look; /* after the sockets, before the listener ends */
+	bool stopping;
 	bool stopped;
 	uint64_t last_number;
 };
@@ -354,7 +358,9 @@
 	session_group_init(&f->group, setup, &group_ops, LINGER_MS);
 	uv_tcp_init(setup->loop, &f->listener);
 	f->listener.data = f;
-	f->group.handles++;
+	uv_check_init(setup->loop, &f->last_look);
+	f->last_look.data = f;
+	f->group.handles += 2;
 	if (listen_start(&f->listener, address, LISTEN_BACKLOG, on_connection,
 			 err))
 		return f;
@@ -362,12 +368,21 @@
 	return NULL;
 }
 
+static void close_listener(struct session_front *f)
+{
+	if (f->stopped)
+		return;
+	f->stopped = true;
+	uv_close((uv_handle_t *)&f->listener, session_group_on_closed);
+	uv_close((uv_handle_t *)&f->last_look, session_group_on_closed);
+}
+
 /* NULL is ignored. The loop has to run on until the handles are closed. */
 void session_front_destroy(struct session_front *f)
 {
 	if (!f)
 		return;
-	session_front_stop_accepting(f);
+	close_listener(f);
 	session_group_end(&f->group);
 }
 
@@ -409,13 +424,41 @@
 	session_link_go_on_later(&caller->link);
 }
 
-/* New connections are refused from now on. */
+/* Whether a connection stands that was not accepted yet. */
+static bool has_waiting(const struct session_front *f)
+{
+	struct pollfd p = { .events = POLLIN };
+
+	if (uv_fileno((const uv_handle_t *)&f->listener, &p.fd))
+		return false;
+	return poll(&p, 1, 0) > 0;
+}
+
+/* The sockets were looked at; what is there now is accepted next. */
+static void on_last_look(uv_check_t *check)
+{
+	struct session_front *f = check->data;
+
+	if (!has_waiting(f))
+		close_listener(f);
+}
+
+/*
+ * New connections are refused, but for those that stand already.
+ *
+ * Failure: a proxy that stops is slow, and a caller's connection waits to be
+ * accepted, with a statement on it. The end of the listener resets it: a
+ * request that ends without an answer. Guard: what waits is accepted first.
+ */
 void session_front_stop_accepting(struct session_front *f)
 {
-	if (f->stopped)
+	if (f->stopping)
 		return;
-	f->stopped = true;
-	uv_close((uv_handle_t *)&f->listener, session_group_on_closed);
+	f->stopping = true;
+	if (has_waiting(f))
+		uv_check_start(&f->last_look, on_last_look);
+	else
+		close_listener(f);
 }
 
 /* The one that the kernel picked, if it was to; 0: none. */
--- a/packages/transport/tests/test_session.c
+++ b/packages/transport/tests/test_session.c
@@ -404,6 +404,26 @@
 }
 END_TEST
 
+static bool is_open_or_lost(void *ctx)
+{
+	(void)ctx;
+	return rig.opened || rig.lost;
+}
+
+/* Fails when a proxy that stops resets a caller that it has not accepted. */
+START_TEST(a_caller_that_waits_is_accepted_before_the_end)
+{
+	uint16_t port = session_front_port(rig.ends.front);
+
+	connect_to(port);
+	session_front_stop_accepting(rig.ends.front);
+	loop_until(&rig.loop, is_open_or_lost, NULL);
+	ck_assert_uint_eq(rig.lost, 0);
+	send_statements(1);
+	loop_until(&rig.loop, has_statement, NULL);
+}
+END_TEST
+
 static bool is_lost(void *ctx)
 {
 	(void)ctx;
@@ -432,6 +452,7 @@
 	tcase_add_test(t, test_a_long_answer_arrives_whole);
 	tcase_add_test(t, test_a_hang_up_with_unread_bytes_cuts_no_answer);
 	tcase_add_test(t, test_a_statement_that_is_there_is_answered_first);
+	tcase_add_test(t, a_caller_that_waits_is_accepted_before_the_end);
 	tcase_add_test(t, test_a_refused_connection_is_told_as_such);
 	return suite_main("session", t);
 }
