limit: callers beyond a limit come back one after the other

Cause: all who are refused were told when the next token comes. One of them gets it.

Now each is told a time after those who were refused before it, as far apart as tokens come to this proxy: the account's whole rate when the limit begins to bind, then what did come in the last second. Whom the other proxies sent away isn't known here; what comes here falls with it.

Test: 60 callers of an account of 40 a second come at once and come back as told.

--- a/packages/relay/src/limit.c
+++ b/packages/relay/src/limit.c
@@ -21,6 +21,10 @@
 #define TICK_LIMITS_US (20 * USEC_PER_MSEC)
 #define BINDS_US (5 * USEC_PER_SEC) /* a limit that refused binds so long */
 #define FORGET_US (60 * USEC_PER_SEC)
+/* Told to callers where no grantor is known. */
+#define COME_BACK_US USEC_PER_SEC
+#define GIVEN_OVER_US USEC_PER_SEC /* what came here is averaged over that */
+#define LEAST_PER_S 1.0 /* tokens; rarer ones count as so many */
 
 static void limit_free(gpointer data)
 {
@@ -83,12 +87,35 @@
 	log_event_end(line);
 }
 
+/* Takes in tokens that came, or that none did. */
+static void note_given(struct rlimit *l, unsigned n, uint64_t now_us)
+{
+	uint64_t since_us = MIN(now_us - l->given_us, GIVEN_OVER_US);
+	double kept = 1 - (double)since_us / GIVEN_OVER_US;
+
+	l->given_per_s = l->given_per_s * kept +
+			 n * (double)USEC_PER_SEC / GIVEN_OVER_US;
+	l->given_us = now_us;
+}
+
+/* The whole rate, until it shows how much of it comes here. */
+static void begin_to_bind(struct rlimit *l, uint64_t now_us)
+{
+	const struct relay_account *a =
+		relay_catalog_account(l->relay->catalog, l->account);
+
+	log_binds(l, true);
+	l->given_per_s = a ? a->rate_per_s : 0;
+	l->given_us = now_us;
+	l->turn_us = 0;
+}
+
 static void note_refused(struct rlimit *l, uint64_t now_us)
 {
 	l->n_refused++;
 	counter_add(l->relay->n_limited, 1);
 	if (!l->refused_us)
-		log_binds(l, true);
+		begin_to_bind(l, now_us);
 	l->refused_us = now_us;
 }
 
@@ -103,13 +130,34 @@
 	return l->n_grantors ? MAX(first, now_us) : NEVER_US;
 }
 
-static void refuse(struct rlimit *l, struct rsession *s, uint64_t now_us)
+/*
+ * How long the next one that is refused is to stay away.
+ *
+ * Failure: all who are refused are told when the next token comes. They come
+ * back together, one gets it, and the others use up their retries. Guard: each
+ * is told a time after those who were refused before, as far apart as tokens
+ * come here.
+ */
+static uint64_t stay_away_us(struct rlimit *l, uint64_t now_us)
 {
 	uint64_t first = first_us(l, now_us);
-	uint64_t wait_us = first == NEVER_US ? USEC_PER_SEC : first - now_us;
+	uint64_t apart_us;
+
+	if (first == NEVER_US)
+		return COME_BACK_US;
+	note_given(l, 0, now_us);
+	apart_us = (uint64_t)(USEC_PER_SEC / MAX(l->given_per_s, LEAST_PER_S));
+	l->turn_us = MAX(first, l->turn_us + apart_us);
+	return l->turn_us - now_us;
+}
+
+static void refuse(struct rlimit *l, struct rsession *s, uint64_t now_us)
+{
+	uint64_t wait_us;
 	char text[64];
 
 	note_refused(l, now_us);
+	wait_us = stay_away_us(l, now_us);
 	g_snprintf(text, sizeof(text),
 		   "the account is at its limit; come back in %u ms",
 		   (unsigned)(wait_us / USEC_PER_MSEC) + 1);
@@ -145,6 +193,7 @@
 static void hand_out(struct rlimit *l, unsigned given, uint64_t asked_us,
 		     uint64_t now_us)
 {
+	note_given(l, given, now_us);
 	while (given-- && l->waiting.head && !came_later(l, asked_us)) {
 		GList *link = g_queue_pop_head_link(&l->waiting);
 
--- a/packages/relay/src/limit_internal.h
+++ b/packages/relay/src/limit_internal.h
@@ -36,6 +36,9 @@
 	uint64_t chosen_us; /* one is waited for since, 0: none is */
 	uint64_t refused_us; /* the last operation; 0: it does not bind */
 	uint64_t n_refused; /* since it binds */
+	double given_per_s; /* tokens that came here, while it binds */
+	uint64_t given_us; /* the same is of then */
+	uint64_t turn_us; /* the last that was refused is to come back then */
 };
 
 /* grantor.c */
--- a/packages/relay/tests/test_accounts.c
+++ b/packages/relay/tests/test_accounts.c
@@ -299,6 +299,67 @@
 }
 END_TEST
 
+#define RETURNS 60 /* callers of one account, at once */
+
+/* What callers at a limit got when they came back as they were told. */
+struct returns {
+	unsigned refused; /* the first time */
+	unsigned again; /* of these, when they came back */
+};
+
+static struct returns returns;
+
+static void come_back_event(struct fake *f, void *data)
+{
+	hist_start(f, data, RELAY_READ, "", "1");
+}
+
+/* left: the caller has not come back yet. */
+static void turned_away_event(struct fake *f, void *data)
+{
+	struct hist_session *s = data;
+	const char *at = strstr(s->said, "come back in ");
+
+	if (s->told == RELAY_OK)
+		return;
+	if (!s->left) {
+		returns.again++;
+		return;
+	}
+	s->left = 0;
+	returns.refused++;
+	ck_assert_ptr_nonnull(at);
+	fake_at(f, -1,
+		g_ascii_strtoull(at + strlen("come back in "), NULL, 10) * MS,
+		come_back_event, s, NULL);
+}
+
+/* Guards against a time to come back that is the same for all. */
+START_TEST(callers_at_a_limit_come_back_one_after_the_other)
+{
+	struct fake *f = fake_create_accounts((uint32_t)_i, RELAYS, 1);
+	unsigned i, n;
+
+	returns = (struct returns){ 0 };
+	fake_run(f, 6 * USEC_PER_SEC);
+	for (i = 0, n = 0; n < RETURNS; i++) {
+		struct hist_session *s = hist_open(f, 0, 0, RELAY_KIND_BOUNDED);
+
+		if (s->account)
+			continue;
+		s->next = turned_away_event;
+		s->left = 1;
+		come_back_event(f, s);
+		n++;
+	}
+	fake_run(f, 20 * USEC_PER_SEC);
+	ck_assert_uint_gt(returns.refused, RETURNS / 3);
+	ck_assert_uint_lt(returns.again, returns.refused / 5);
+	ck_assert_str_eq(hist_check(f), "");
+	fake_destroy(f);
+}
+END_TEST
+
 /* Whether a relay that starts before a server half full takes a third one. */
 static bool takes_a_third(struct fake *f)
 {
@@ -477,6 +538,8 @@
 	tcase_add_test(tc, a_transaction_ends_with_its_key);
 	tcase_add_test(tc, keys_are_good_again_with_the_store);
 	tcase_add_test(tc, one_proxy_gets_an_account_its_whole_rate);
+	tcase_add_loop_test(
+		tc, callers_at_a_limit_come_back_one_after_the_other, 1, 6);
 	tcase_add_test(tc, a_start_leaves_connections_to_the_others);
 	tcase_add_test(tc, a_proxy_that_is_new_waits_before_it_grants);
 	tcase_add_test(tc, a_proxy_that_left_counts_on_for_a_while);
