relay: a service has homes by its share of the fleet

Cause: homes followed the servers' connections alone (278 / 5, so 16), which says what servers bear, not what there is to do.

Ways: (a) the standing one; (b) measured load: each proxy knows only its own, and homes must be the same for all, so it would need a message; (c) taken: at most twice the service's share of the fleet, since a fleet is sized for what its services have to do. At 984 proxies and 1,000 services that is 4, the least; at 1,400 before 3,400 as well, and at twice that. Fleets of up to some 300 proxies before 20 services keep what they had (`homes_follow_a_services_ share_of_the_fleet`). Whoever loses all four goes to four spares, as before.

--- a/bench/bench_relay_fleet.c
+++ b/bench/bench_relay_fleet.c
@@ -23,6 +23,7 @@
 #define SERVERS_A_SERVICE 3
 #define MAX_CONNECTIONS 80 /* homes stand between at any size here */
 #define BATCHES 20 /* of news, in a start */
+#define SELVES 20 /* proxies that are played in turn, to count */
 
 enum event { START, PROXY, SERVER, CONFIG, TICK, EVENTS };
 
@@ -40,6 +41,7 @@
 	struct relay_server_info *servers;
 	uint64_t version;
 	uint64_t now_us;
+	unsigned n_opened; /* connections to servers */
 };
 
 static void answer(void *ctx, uint64_t session, const struct relay_answer *a)
@@ -59,10 +61,12 @@
 		      const struct relay_server_info *server,
 		      const char *account)
 {
-	(void)ctx;
+	struct bench *b = ctx;
+
 	(void)conn;
 	(void)server;
 	(void)account;
+	b->n_opened++;
 }
 
 static void send_statement(void *ctx, uint64_t conn,
@@ -207,7 +211,7 @@
 	}
 }
 
-static void start(struct bench *b, unsigned n)
+static void start(struct bench *b, unsigned n, unsigned self)
 {
 	struct relay_settings settings;
 
@@ -215,8 +219,8 @@
 	make_proxies(b);
 	make_servers(b);
 	relay_settings_default(&settings);
-	settings.name = b->proxies[0].id;
-	settings.zone = b->proxies[0].zone;
+	settings.name = b->proxies[self].id;
+	settings.zone = b->proxies[self].zone;
 	b->counters = counter_set_create();
 	b->rng = g_rand_new_with_seed(1);
 	b->relay = relay_create(&settings, &ops, b, b->counters, b->rng,
@@ -250,7 +254,7 @@
 		struct bench b;
 		double began_us;
 
-		start(&b, n);
+		start(&b, n, 0);
 		if (event != START)
 			hear_all(&b);
 		began_us = cpu_us();
@@ -261,11 +265,30 @@
 	return least_us;
 }
 
+/* What one proxy opens to servers at a start, in the middle of a few. */
+static unsigned count_opened(unsigned n)
+{
+	struct bench b;
+	unsigned i, sum = 0;
+
+	for (i = 0; i < SELVES; i++) {
+		start(&b, n, i);
+		hear_all(&b);
+		sum += b.n_opened;
+		stop(&b);
+	}
+	return sum / SELVES;
+}
+
 int main(void)
 {
 	static const unsigned sizes[] = { 100, 300, 1000, 2000 };
 	unsigned event, i;
 
+	for (i = 0; i < G_N_ELEMENTS(sizes); i++)
+		printf("{\"bench\": \"relay_fleet_conns\", \"proxies\": %u, "
+		       "\"opened\": %u}\n",
+		       sizes[i], count_opened(sizes[i]));
 	for (event = 0; event < EVENTS; event++) {
 		double us[G_N_ELEMENTS(sizes)];
 
--- a/packages/relay/src/peer.c
+++ b/packages/relay/src/peer.c
@@ -23,6 +23,8 @@
  */
 #define HOMES_MOST 16
 #define HOMES_MAX 64
+/* Homes that each proxy is for others, where services share a fleet. */
+#define HOMES_A_PROXY 2
 /*
  * Proxies next in rank to the homes, for those that reach none. Of a split
  * that leaves a third of the proxies on one side, four more leave one service
@@ -43,13 +45,29 @@
 	return g_hash_table_size(r->peers) + 1;
 }
 
+/*
+ * A service's share of the fleet. A fleet is sized for what all services have
+ * to do; where they are as many as the proxies, homes by the servers'
+ * connections alone would keep a connection to each of these for hardly a
+ * statement, and probe it all the same.
+ */
+static unsigned fleet_share(const struct rservice *v, unsigned n)
+{
+	const struct relay_catalog *c = v->relay->catalog;
+	unsigned n_services = c ? relay_catalog_services(c) : 0;
+
+	return n * HOMES_A_PROXY / MAX(n_services, 1);
+}
+
+/* How many of n proxies are homes of the service. */
 static unsigned homes_wanted(const struct rservice *v, unsigned n)
 {
 	unsigned limit = v->max_connections;
+	unsigned most = MIN(HOMES_MOST, fleet_share(v, n));
 
 	if (!limit || n * DIRECT_TENTHS <= limit * 10)
 		return MIN(n, HOMES_MAX);
-	return MIN(CLAMP(limit / HOME_CONNS, HOMES_LEAST, HOMES_MOST), n);
+	return MIN(MAX(MIN(limit / HOME_CONNS, most), HOMES_LEAST), n);
 }
 
 static void log_home(const struct rservice *v, unsigned n_proxies)
--- a/packages/relay/tests/test_rank.c
+++ b/packages/relay/tests/test_rank.c
@@ -30,13 +30,19 @@
 		g_snprintf(names[i], sizeof(names[i]), "other-%u", i);
 }
 
-static void configure(struct fake *f)
+/* The service group0, and others beside it. */
+static void configure(struct fake *f, unsigned n_services)
 {
 	struct relay_catalog *c = relay_catalog_create(99, 0);
-	struct relay_service_conf conf = { .name = (char *)"group0",
-					   .max_connections = WIDE_LIMIT };
+	struct relay_service_conf conf = { .max_connections = WIDE_LIMIT };
+	char name[16];
+	unsigned i;
 
-	relay_catalog_add_service(c, &conf);
+	conf.name = name;
+	for (i = 0; i < n_services; i++) {
+		g_snprintf(name, sizeof(name), "group%u", i);
+		relay_catalog_add_service(c, &conf);
+	}
 	relay_on_catalog(f->relays[0].relay, c, f->now_us);
 	relay_catalog_unref(c);
 }
@@ -108,7 +114,7 @@
 	unsigned i, k;
 
 	name_all(f);
-	configure(f);
+	configure(f, 1);
 	for (i = 0; i < PROXIES; i++)
 		listed[i] = fake_chance(f, 0.7);
 	tell(f, listed);
@@ -134,7 +140,7 @@
 	struct relay_server_info moved[2];
 
 	name_all(f);
-	configure(f);
+	configure(f, 1);
 	moved[0] = info_of(1);
 	moved[1] = info_of(2);
 	relay_on_peers(r, moved, 2, f->now_us);
@@ -147,11 +153,40 @@
 }
 END_TEST
 
+/* Fails when each of many services has homes for the load of all of them. */
+START_TEST(homes_follow_a_services_share_of_the_fleet)
+{
+	static const unsigned homes[][2] = {
+		/* services, homes of each */
+		{ 1, 16 },
+		{ 25, 16 },
+		{ 50, 8 },
+		{ 200, 4 },
+	};
+	struct fake *f = fake_create(1, 1, 1);
+	bool listed[PROXIES];
+	struct rservice *v;
+	unsigned i;
+
+	for (i = 0; i < PROXIES; i++)
+		listed[i] = true;
+	name_all(f);
+	configure(f, homes[_i][0]);
+	tell(f, listed);
+	v = g_hash_table_lookup(f->relays[0].relay->services, "group0");
+	ck_assert_uint_eq(rpr_homes(v)->len + v->is_home, homes[_i][1]);
+	ck_assert_uint_eq(rpr_spares(v)->len, 4);
+	fake_destroy(f);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("rank");
 
 	tcase_add_loop_test(tc, homes_follow_each_change_of_the_list, 1, 11);
+	tcase_add_loop_test(tc, homes_follow_a_services_share_of_the_fleet, 0,
+			    4);
 	tcase_add_test(tc, a_proxy_is_found_at_its_new_address);
 	return suite_main("rank", tc);
 }
