lead: a lease that a statement waits for is renewed at once

What callers would see: where a home is asked for a service now and then, its lease on the primary is over each time. The replicas were asked with the next tick, 10 ms later on average and 20 at most; a statement with a latency target of 150 ms waits 27 ms, so many were refused and came back 100 ms later.

Now they are asked when the statement comes, within the same pace of probes (each server once in 250 ms). A server that is asked anyway is asked sooner, so there are no more probes than before.

The guard `renew_at_once` switches it off for ablation; no promise rests on it.

--- a/packages/relay/src/lead.c
+++ b/packages/relay/src/lead.c
@@ -275,6 +275,21 @@
 	       !rld_holds(v, now_us + RENEW_US);
 }
 
+/*
+ * A statement needs the primary. Where its lease is over, as where nobody asked
+ * for the service for a while, replicas are asked now rather than with the next
+ * tick.
+ */
+void rld_renew(struct rservice *v, uint64_t now_us)
+{
+	unsigned i;
+
+	if (!v->relay->guards.renew_at_once || rld_holds(v, now_us))
+		return;
+	for (i = 0; i < v->servers->len; i++)
+		rsv_tick(rservice_server(v, i), now_us);
+}
+
 /* The newest sample that the position covers, NULL when none is known. */
 static const struct rsample *newest_covered(const struct rservice *v,
 					    struct position p)
--- a/packages/relay/src/pick.c
+++ b/packages/relay/src/pick.c
@@ -253,6 +253,7 @@
 		rpr_on_asked(v, now_us);
 	rpk_note_primary_use(v, v->wanted_us, now_us);
 	v->wanted_us = now_us;
+	rld_renew(v, now_us);
 	out->server = choose_own(s, v, profile, out, now_us);
 	if (out->server)
 		rpk_take_conn(s, out, now_us);
--- a/packages/relay/src/relay_internal.h
+++ b/packages/relay/src/relay_internal.h
@@ -329,6 +329,7 @@
 	bool check_keys; /* with each operation */
 	bool check_key_age; /* a key may have been taken away */
 	bool limit_accounts; /* each operation takes a token */
+	bool renew_at_once; /* a lease that a statement waits for */
 };
 
 struct relay {
@@ -625,6 +626,7 @@
 void rld_on_unpaused(struct rserver *s, uint64_t now_us);
 void rld_on_doubt(struct rserver *s, uint64_t now_us);
 bool rld_wants(const struct rservice *v, uint64_t now_us);
+void rld_renew(struct rservice *v, uint64_t now_us);
 void rld_on_applied(struct rserver *s, struct position p, uint64_t now_us);
 void rld_on_read_only(struct rserver *s, uint64_t now_us);
 void rld_drop(struct rserver *s, uint64_t now_us);
--- a/packages/relay/tests/test_histories.c
+++ b/packages/relay/tests/test_histories.c
@@ -187,13 +187,13 @@
 
 /*
  * Each guard in turn, by its place in struct relay_guards. The first and the
- * last fourteen have tests of their own: confirm_writes, fresh_claim and
+ * last fifteen have tests of their own: confirm_writes, fresh_claim and
  * resume_under_duty in test_change; doubt_reborn in test_reborn;
  * claim_after_fence, doubt_unpaused, doubt_newcomers and check_list_age in
  * test_newcomers;
- * avoid_outliers, limit_in_flight and leave_when_cut_off, which no promise
- * rests on, in test_routing, test_overload and test_homes; the last four in
- * test_accounts.
+ * avoid_outliers, limit_in_flight, leave_when_cut_off and renew_at_once, which
+ * no promise rests on, in test_routing, test_overload and test_homes; the four
+ * of accounts in test_accounts.
  */
 static const char *const guards[] = {
 	"confirm_writes",     "hold_before_promote", "fence",
@@ -202,7 +202,7 @@
 	"limit_in_flight",    "doubt_reborn",	     "claim_after_fence",
 	"doubt_unpaused",     "doubt_newcomers",     "check_list_age",
 	"leave_when_cut_off", "own_connections",     "check_keys",
-	"check_key_age",      "limit_accounts",
+	"check_key_age",      "limit_accounts",	     "renew_at_once",
 };
 
 #define GUARD_SEEDS 400
@@ -246,6 +246,6 @@
 	g_log_set_writer_func(no_log, NULL, NULL);
 	tcase_add_test(tc, test_days_keep_their_promises);
 	tcase_add_loop_test(tc, test_days_notice_a_missing_guard, 1,
-			    G_N_ELEMENTS(guards) - 14);
+			    G_N_ELEMENTS(guards) - 15);
 	return suite_main("histories", tc);
 }
