via: let go of homes of databases that nobody asks for

Cause: `via` had an end only where the configuration dropped a database. Now homes are let go 10 s after the last statement, and what was known of the database with them; 10 s of probes cost about what three connections do, so neither choice can cost more than twice the better one. The next statement lists them anew.

Test: after 25 s at rest no connection and no entry is left, and the next read is served.

--- a/packages/relay/src/via.c
+++ b/packages/relay/src/via.c
@@ -27,6 +27,11 @@
 #define NO_HOME_US USEC_PER_SEC
 #define MIND_US (200 * USEC_PER_MSEC)
 #define WANTED_US (3 * USEC_PER_SEC) /* a database was asked for */
+/*
+ * For so long after that its homes are kept. Probes of three homes for that
+ * long cost what it takes to connect to them again.
+ */
+#define KEPT_US (10 * USEC_PER_SEC)
 
 /* Those near first; among them each proxy prefers others. */
 static uint64_t preference(const struct relay *r,
@@ -117,6 +122,12 @@
 	via->homes_changed = v->homes_changed;
 }
 
+/* Whether nobody has asked for the database for a while. */
+static bool is_at_rest(const struct rservice *via, uint64_t now_us)
+{
+	return now_us > via->wanted_us + KEPT_US;
+}
+
 /* Whether the service's homes are others than those that are listed. */
 static bool are_homes_other(const struct rservice *via, struct rservice *v)
 {
@@ -160,7 +171,7 @@
 		struct rservice *via = value;
 		struct rservice *v = rls_service_of(r, via->name);
 
-		if (!v)
+		if (!v || is_at_rest(via, now_us))
 			unlist_homes(via, now_us);
 		else if (are_homes_other(via, v))
 			list_homes(via, v, now_us);
@@ -239,6 +250,23 @@
 		via->in_vain_us = now_us;
 }
 
+/*
+ * Lets go of homes that nobody asks for. True: there are none left.
+ *
+ * Failure: a proxy of a large fleet is asked for each of thousands of databases
+ * now and then. Without an end it comes to hold connections to the homes of
+ * all of them, and both sides probe these on and on.
+ */
+static bool let_go(struct rservice *via, uint64_t now_us)
+{
+	if (!is_at_rest(via, now_us))
+		return false;
+	if (via->homes_changed)
+		unlist_homes(via, now_us);
+	via->homes_changed = 0; /* to be listed anew when it is asked for */
+	return !via->servers->len;
+}
+
 /* Looks after the homes of what callers ask for. */
 static void mind_all(struct relay *r, uint64_t now_us)
 {
@@ -251,6 +279,10 @@
 		struct rservice *via = value;
 		struct rservice *v = rls_service_of(r, via->name);
 
+		if (let_go(via, now_us)) {
+			g_hash_table_iter_remove(&iter);
+			continue;
+		}
 		if (!v || v->is_home || now_us > via->wanted_us + WANTED_US)
 			continue;
 		mind_homes(via, v, now_us);
--- a/packages/relay/tests/test_homes.c
+++ b/packages/relay/tests/test_homes.c
@@ -136,6 +136,27 @@
 }
 END_TEST
 
+/* Fails when connections to homes are kept for databases at rest. */
+START_TEST(homes_that_nobody_asks_for_are_let_go)
+{
+	struct fake *f = start((uint32_t)_i, RELAYS);
+	unsigned entry = nth(f, false, 0);
+	struct relay *r = f->relays[entry].relay;
+	struct hist_session *s = hist_open(f, entry, 0, RELAY_KIND_OWN_WRITES);
+
+	ck_assert_int_eq(hist_run(f, s, RELAY_WRITE, "", "1"), RELAY_OK);
+	ck_assert_uint_gt(g_hash_table_size(r->conns), 0);
+	fake_run(f, 5 * USEC_PER_SEC);
+	ck_assert_uint_gt(g_hash_table_size(r->conns), 0);
+	fake_run(f, 20 * USEC_PER_SEC);
+	ck_assert_uint_eq(g_hash_table_size(r->conns), 0);
+	ck_assert_uint_eq(g_hash_table_size(r->via), 0);
+	ck_assert(relay_is_ready(r));
+	ck_assert_int_eq(hist_run(f, s, RELAY_READ, "", "1"), RELAY_OK);
+	end(f);
+}
+END_TEST
+
 static struct relay_catalog *catalog_of(unsigned max_connections)
 {
 	struct relay_catalog *c = relay_catalog_create(99, 0);
@@ -707,6 +728,7 @@
 	tcase_add_loop_test(tc, test_no_proxy_leaves_for_an_outage_of_the_store,
 			    0, 6);
 	tcase_add_loop_test(tc, test_way_round_a_cut, 0, 6);
+	tcase_add_loop_test(tc, homes_that_nobody_asks_for_are_let_go, 0, 5);
 	tcase_add_loop_test(tc, test_the_way_round_ends_in_time, 0, 60);
 	tcase_add_loop_test(tc, test_a_lapsed_list_makes_no_homes, 0, 3);
 	return suite_main("homes", tc);
