--- a/packages/relay/src/peer.c
+++ b/packages/relay/src/peer.c
@@ -105,16 +105,19 @@
 		log_home(v, n_proxies(v->relay));
 }
 
-/* Becomes a home of the service, or ends being one. */
-static void update_role(struct rservice *v)
+/* Becomes a home of the service, or ends being one; whether it did. */
+static bool update_role(struct rservice *v)
 {
 	unsigned wanted = homes_wanted(v, n_proxies(v->relay));
 	bool is_home = v->rank.n_before < wanted || is_spare_in_use(v);
 
-	if (is_home && !v->is_home)
+	if (is_home == v->is_home)
+		return false;
+	if (is_home)
 		become_home(v);
-	else if (v->is_home && !is_home)
+	else
 		end_home(v);
+	return true;
 }
 
 /*
@@ -137,15 +140,17 @@
 	}
 }
 
-static void update_roles(struct relay *r)
+/* Whether one was changed. */
+static bool update_roles(struct relay *r)
 {
 	GHashTableIter iter;
 	gpointer value;
+	bool changed = false;
 
 	g_hash_table_iter_init(&iter, r->services);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		update_role(value);
-	list_served(r);
+		changed |= update_role(value);
+	return changed;
 }
 
 /* Copies the names of others; whether they differ from those before. */
@@ -235,8 +240,7 @@
 		    rch_is_running(v))
 			continue;
 		v->spare_us = 0;
-		update_role(v);
-		ended = true;
+		ended |= update_role(v);
 	}
 	if (ended)
 		list_served(r);
@@ -272,34 +276,24 @@
 	return p ? &p->info : NULL;
 }
 
-static void each_service(struct relay *r, const char *name,
-			 void (*fn)(struct rservice *v, const char *name))
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, r->services);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		fn(value, name);
-}
-
-static void add_peer(struct relay *r, const struct relay_server_info *info)
+static void add_peer(struct relay *r, const struct relay_server_info *info,
+		     GPtrArray *came)
 {
 	struct rpeer *p = g_new0(struct rpeer, 1);
 
 	relay_server_info_copy(&p->info, info);
 	p->list = r->peers_lists;
 	g_hash_table_insert(r->peers, g_strdup(p->info.id), p);
-	each_service(r, p->info.id, rrk_on_come);
+	g_ptr_array_add(came, p->info.id);
 }
 
 static void take_peer(struct relay *r, const struct relay_server_info *info,
-		      uint64_t now_us)
+		      GPtrArray *came, uint64_t now_us)
 {
 	struct rpeer *p = g_hash_table_lookup(r->peers, info->id);
 
 	if (!p) {
-		add_peer(r, info);
+		add_peer(r, info, came);
 		return;
 	}
 	p->list = r->peers_lists;
@@ -309,15 +303,33 @@
 	rvi_update_home(r, &p->info, now_us);
 }
 
-static gboolean is_left_out(gpointer key, gpointer value, gpointer data)
+/* Adds the names that the newest list lacks. */
+static void find_gone(struct relay *r, GPtrArray *gone)
 {
-	const struct rpeer *p = value;
-	struct relay *r = data;
+	GHashTableIter iter;
+	gpointer name, value;
 
-	if (p->list == r->peers_lists)
-		return false;
-	each_service(r, key, rrk_on_gone);
-	return true;
+	g_hash_table_iter_init(&iter, r->peers);
+	while (g_hash_table_iter_next(&iter, &name, &value))
+		if (((struct rpeer *)value)->list != r->peers_lists)
+			g_ptr_array_add(gone, name);
+}
+
+/* Takes over who came and who went, a service at a time. */
+static void count_changes(struct relay *r, const GPtrArray *came,
+			  const GPtrArray *gone)
+{
+	GHashTableIter iter;
+	gpointer value;
+	unsigned i;
+
+	g_hash_table_iter_init(&iter, r->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		for (i = 0; i < came->len; i++)
+			rrk_on_come(value, g_ptr_array_index(came, i));
+		for (i = 0; i < gone->len; i++)
+			rrk_on_gone(value, g_ptr_array_index(gone, i));
+	}
 }
 
 static void log_peers(const struct relay *r, const char *event,
@@ -343,19 +355,33 @@
 }
 
 /* Takes over what differs from the list before. */
-static void take_peers(struct relay *r, const struct relay_server_info *infos,
-		       unsigned n, uint64_t now_us)
+static void merge_peers(struct relay *r, const struct relay_server_info *infos,
+			unsigned n, uint64_t now_us)
 {
+	GPtrArray *came = g_ptr_array_new(), *gone = g_ptr_array_new();
 	unsigned i;
 
-	log_peers(r, "proxies", count_others(r, infos, n));
 	r->peers_lists++;
 	for (i = 0; i < n; i++)
 		if (!is_self(r, infos[i].id))
-			take_peer(r, &infos[i], now_us);
-	g_hash_table_foreach_remove(r->peers, is_left_out, r);
-	r->peers_changed++;
-	update_roles(r);
+			take_peer(r, &infos[i], came, now_us);
+	find_gone(r, gone);
+	count_changes(r, came, gone);
+	for (i = 0; i < gone->len; i++)
+		g_hash_table_remove(r->peers, g_ptr_array_index(gone, i));
+	if (came->len || gone->len)
+		r->peers_changed++;
+	g_ptr_array_unref(came);
+	g_ptr_array_unref(gone);
+}
+
+static void take_peers(struct relay *r, const struct relay_server_info *infos,
+		       unsigned n, uint64_t now_us)
+{
+	log_peers(r, "proxies", count_others(r, infos, n));
+	merge_peers(r, infos, n, now_us);
+	if (update_roles(r))
+		list_served(r);
 	rvi_list_all(r, now_us);
 	rrun_dispatch(r, now_us);
 }
@@ -418,6 +444,7 @@
 {
 	r->peers_changed++; /* other limits, other homes */
 	update_roles(r);
+	list_served(r); /* also for services that come or go */
 	rvi_list_all(r, now_us);
 }
 
