relay: take small changes of a large fleet's list of proxies together

What callers saw: in a roll of 66 of 984 proxies the list changed five times a second, and each change is work on every proxy that grows with the fleet (1.6 ms of processor time at 1,000 now, for the two lists of a restart).

Now a list that differs little is taken no sooner than 1 ms for each known proxy after the one before: 1 s at 984, not noticed in fleets of up to some two hundred, whose news are gathered for 200 ms anyway. So the work a second doesn't grow with the restarts a second. At twice the fleet: 2 s, and the work of a list twice as long, so the share of a core stays.

A proxy that went is noticed by its connections, and one that came is home of few. A list that grows or shrinks by an eighth is taken at once, as at a start. Deployments with limits take each list at once: who grants goes by its age. Ways weighed: a longer gathering at the watcher delays configurations, too. Test: small_changes_of_a_large_fleet_are_taken_together.

--- a/packages/relay/include/celeryquay/relay/relay.h
+++ b/packages/relay/include/celeryquay/relay/relay.h
@@ -126,6 +126,11 @@
  */
 void relay_on_peers(struct relay *r, const struct relay_server_info *infos,
 		    unsigned n_infos, uint64_t now_us);
+/*
+ * Whether a list of so many proxies is to be passed on now, or a later one in
+ * its place.
+ */
+bool relay_takes_peers(const struct relay *r, unsigned n, uint64_t now_us);
 /* Who is asked for all this, the store or another proxy; the relay's own. */
 struct feed_source;
 struct feed_source *relay_feed_source(struct relay *r);
--- a/packages/relay/include/celeryquay/relay/server_list.h
+++ b/packages/relay/include/celeryquay/relay/server_list.h
@@ -20,6 +20,7 @@
 void relay_server_list_remove(struct relay_server_list *l, const char *key);
 /* What the key has now names nobody: who was there is not to be used. */
 void relay_server_list_withdraw(struct relay_server_list *l, const char *key);
+unsigned relay_server_list_size(const struct relay_server_list *l);
 /* Passes the list on if it was changed. */
 void relay_server_list_pass(struct relay_server_list *l, struct relay *r,
 			    relay_list_fn pass, uint64_t now_us);
--- a/packages/relay/src/peer.c
+++ b/packages/relay/src/peer.c
@@ -34,6 +34,10 @@
 /* A spare that nobody has asked for so long is none any more. */
 #define SPARE_US (10 * USEC_PER_SEC)
 #define PEERS_HELD_US (8 * USEC_PER_SEC)
+/* Between two lists, for each proxy that is known. */
+#define PEERS_PAUSE_US USEC_PER_MSEC
+#define FEW_PEERS_SHARE 8 /* a change of less than this part of all is small \
+			   */
 
 static bool is_self(const struct relay *r, const char *name)
 {
@@ -417,6 +421,26 @@
 	g_ptr_array_unref(r->served);
 }
 
+static bool is_small_change(unsigned n, unsigned n_known)
+{
+	unsigned change = n > n_known ? n - n_known : n_known - n;
+
+	return change * FEW_PEERS_SHARE < n_known;
+}
+
+/*
+ * In a large fleet proxies come and go all the time, and each list is work that
+ * grows with the fleet. A small change may wait: whoever can't be reached any
+ * more is noticed without the list. Grantors of limits go by its age.
+ */
+bool relay_takes_peers(const struct relay *r, unsigned n, uint64_t now_us)
+{
+	unsigned n_known = n_proxies(r);
+
+	return r->settings.limits || !is_small_change(n, n_known) ||
+	       now_us >= r->peers_us + n_known * PEERS_PAUSE_US;
+}
+
 /*
  * The proxies as they are now; this one is passed over.
  *
@@ -433,6 +457,7 @@
 	feed_source_on_proxies(r->feed_source, infos, n_infos);
 	rgr_on_peers(r, infos, n_infos, now_us);
 	free_held(r);
+	r->peers_us = now_us;
 	if (n_others * 2 >= g_hash_table_size(r->peers))
 		take_peers(r, infos, n_infos, now_us);
 	else
--- a/packages/relay/src/relay_internal.h
+++ b/packages/relay/src/relay_internal.h
@@ -349,6 +349,7 @@
 	GHashTable *sessions; /* id -> struct rsession */
 	GHashTable *peers; /* name -> struct rpeer: other proxies */
 	unsigned peers_lists; /* how many came */
+	uint64_t peers_us; /* the last came then */
 	unsigned peers_changed; /* how often homes may have changed */
 	GPtrArray *served; /* struct rservice to look after; see peer.c */
 	GPtrArray *active; /* struct rserver, the same */
--- a/packages/relay/src/server_list.c
+++ b/packages/relay/src/server_list.c
@@ -109,6 +109,12 @@
 	l->changed = true;
 }
 
+/* How many entries it has. */
+unsigned relay_server_list_size(const struct relay_server_list *l)
+{
+	return g_hash_table_size(l->infos);
+}
+
 /* Several changes make one call. */
 void relay_server_list_pass(struct relay_server_list *l, struct relay *r,
 			    relay_list_fn pass, uint64_t now_us)
--- a/packages/relay/tests/test_rank.c
+++ b/packages/relay/tests/test_rank.c
@@ -132,6 +132,28 @@
 }
 END_TEST
 
+/* Fails when each of many restarts is a list for every proxy of a fleet. */
+START_TEST(small_changes_of_a_large_fleet_are_taken_together)
+{
+	struct fake *f = fake_create(1, 1, 1);
+	struct relay *r = f->relays[0].relay;
+	bool listed[PROXIES];
+	unsigned i;
+
+	for (i = 0; i < PROXIES; i++)
+		listed[i] = true;
+	name_all(f);
+	configure(f, 1);
+	ck_assert(relay_takes_peers(r, PROXIES, f->now_us));
+	tell(f, listed);
+	ck_assert(!relay_takes_peers(r, PROXIES - 1, f->now_us + 100 * MS));
+	ck_assert(relay_takes_peers(r, PROXIES / 2, f->now_us + 100 * MS));
+	ck_assert(relay_takes_peers(r, PROXIES * 2, f->now_us + 100 * MS));
+	ck_assert(relay_takes_peers(r, PROXIES - 1, f->now_us + 200 * MS));
+	fake_destroy(f);
+}
+END_TEST
+
 /* Fails when a proxy goes on to an address that another one has left. */
 START_TEST(a_proxy_is_found_at_its_new_address)
 {
@@ -187,6 +209,7 @@
 	tcase_add_loop_test(tc, homes_follow_each_change_of_the_list, 1, 11);
 	tcase_add_loop_test(tc, homes_follow_a_services_share_of_the_fleet, 0,
 			    4);
+	tcase_add_test(tc, small_changes_of_a_large_fleet_are_taken_together);
 	tcase_add_test(tc, a_proxy_is_found_at_its_new_address);
 	return suite_main("rank", tc);
 }
