session-front: look into the socket once more before a hang-up

But the hang-up comes before the sockets in its turn, and after the timers. Where a turn is long (a change of the list of proxies took a slow machine of 300 some 100 ms), a statement comes in between, lies unread, and is thrown away after the hang-up.

Now what lies in the socket at that moment is read first; the rest is the microseconds between the look and the shutdown. Test: a statement after the first turn was lost before, answered now.

--- a/packages/transport/src/session_front.c
+++ b/packages/transport/src/session_front.c
@@ -296,13 +296,29 @@
 	pace(caller);
 }
 
-/* One turn less until the session is hung up. */
+/* Whether something is there to be read or accepted. */
+static bool is_readable(const uv_tcp_t *tcp)
+{
+	struct pollfd p = { .events = POLLIN };
+
+	if (uv_fileno((const uv_handle_t *)tcp, &p.fd))
+		return false;
+	return poll(&p, 1, 0) > 0;
+}
+
+/*
+ * One turn less until the session is hung up. A turn may be long: what came
+ * since the sockets were read is read first.
+ */
 static void hang_up_soon(struct caller *caller)
 {
-	if (--caller->hang_up_in)
-		session_link_go_on_later(&caller->link);
-	else
+	if (caller->hang_up_in == 1 && !is_readable(&caller->link.tcp)) {
+		caller->hang_up_in = 0;
 		hang_up(caller);
+		return;
+	}
+	caller->hang_up_in = MAX(caller->hang_up_in - 1, 1);
+	session_link_go_on_later(&caller->link);
 }
 
 static void go_on(struct session_link *link)
@@ -424,22 +440,12 @@
 	session_link_go_on_later(&caller->link);
 }
 
-/* Whether a connection stands that was not accepted yet. */
-static bool has_waiting(const struct session_front *f)
-{
-	struct pollfd p = { .events = POLLIN };
-
-	if (uv_fileno((const uv_handle_t *)&f->listener, &p.fd))
-		return false;
-	return poll(&p, 1, 0) > 0;
-}
-
 /* The sockets were looked at; what is there now is accepted next. */
 static void on_last_look(uv_check_t *check)
 {
 	struct session_front *f = check->data;
 
-	if (!has_waiting(f))
+	if (!is_readable(&f->listener))
 		close_listener(f);
 }
 
@@ -455,7 +461,7 @@
 	if (f->stopping)
 		return;
 	f->stopping = true;
-	if (has_waiting(f))
+	if (is_readable(&f->listener))
 		uv_check_start(&f->last_look, on_last_look);
 	else
 		close_listener(f);
--- a/packages/transport/tests/test_session.c
+++ b/packages/transport/tests/test_session.c
@@ -404,6 +404,25 @@
 }
 END_TEST
 
+/* Fails when a statement that comes just before a hang-up is thrown away. */
+START_TEST(a_statement_that_comes_before_a_hang_up_is_answered)
+{
+	char *text = g_strnfill(STATEMENT_BYTES, 's');
+	struct relay_statement statement = { .text = str_from_c(text) };
+
+	open_conn();
+	send_statements(1);
+	check_answer(answer_long());
+	g_string_truncate(rig.answer, 0);
+	session_front_hang_up(&rig, rig.session);
+	uv_run(&rig.loop, UV_RUN_NOWAIT);
+	session_upstream_send(&rig, CONN, &statement);
+	loop_until(&rig.loop, has_second_statement, NULL);
+	check_answer(answer_long());
+	g_free(text);
+}
+END_TEST
+
 static bool is_open_or_lost(void *ctx)
 {
 	(void)ctx;
@@ -452,6 +471,7 @@
 	tcase_add_test(t, test_a_long_answer_arrives_whole);
 	tcase_add_test(t, test_a_hang_up_with_unread_bytes_cuts_no_answer);
 	tcase_add_test(t, test_a_statement_that_is_there_is_answered_first);
+	tcase_add_test(t, a_statement_that_comes_before_a_hang_up_is_answered);
 	tcase_add_test(t, a_caller_that_waits_is_accepted_before_the_end);
 	tcase_add_test(t, test_a_refused_connection_is_told_as_such);
 	return suite_main("session", t);
