relay: nobody is a home before it knows who else there is

What callers would see: a fleet that starts for the first time.

Now a proxy is no home, and not ready, before a list has named it, so that the list is no older than its start, and has not grown by an eighth for 0.5 s; 4 s at the latest. What a first page of the store names decides only whom to ask for the rest.

Ways weighed: `bootstrap` of the platform's settings (true at a first start alone, but then says nothing of who is there yet); the number of proxies from the settings (they don't say). Tests: no home while the list grows, at once where it is listed, after 4 s without.

--- a/packages/relay/include/celeryquay/relay/relay.h
+++ b/packages/relay/include/celeryquay/relay/relay.h
@@ -126,6 +126,11 @@
  */
 void relay_on_peers(struct relay *r, const struct relay_server_info *infos,
 		    unsigned n_infos, uint64_t now_us);
+/* Some of them, before all are known: one of these may be asked for the rest.
+ */
+void relay_on_first_peers(struct relay *r,
+			  const struct relay_server_info *infos,
+			  unsigned n_infos, uint64_t now_us);
 /*
  * Whether a list of so many proxies is to be passed on now, or a later one in
  * its place.
--- a/packages/relay/include/celeryquay/relay/server_list.h
+++ b/packages/relay/include/celeryquay/relay/server_list.h
@@ -12,7 +12,8 @@
 			      const struct relay_server_info *infos,
 			      unsigned n_infos, uint64_t now_us);
 
-struct relay_server_list *relay_server_list_create(void);
+/* Empty; tells_empty: passed on once also when nothing was put into it. */
+struct relay_server_list *relay_server_list_create(bool tells_empty);
 void relay_server_list_destroy(struct relay_server_list *l);
 /* The info is the list's from now on. */
 void relay_server_list_put(struct relay_server_list *l, const char *key,
@@ -24,6 +25,9 @@
 /* Passes the list on if it was changed. */
 void relay_server_list_pass(struct relay_server_list *l, struct relay *r,
 			    relay_list_fn pass, uint64_t now_us);
+/* Passes on a part of it, with which it doesn't count as passed on. */
+void relay_server_list_show(const struct relay_server_list *l, struct relay *r,
+			    relay_list_fn pass, uint64_t now_us);
 
 /* Strings are copied with the rest. */
 void relay_server_info_copy(struct relay_server_info *to,
--- a/packages/relay/src/peer.c
+++ b/packages/relay/src/peer.c
@@ -36,8 +36,12 @@
 #define PEERS_HELD_US (8 * USEC_PER_SEC)
 /* Between two lists, for each proxy that is known. */
 #define PEERS_PAUSE_US USEC_PER_MSEC
-#define FEW_PEERS_SHARE 8 /* a change of less than this part of all is small \
-			   */
+/* A list that grows no more for so long is whole. */
+#define PEERS_CALM_US (500 * USEC_PER_MSEC)
+/* Without such a list: the store takes no entries, or others come on and on. */
+#define PEERS_WAIT_US (4 * USEC_PER_SEC)
+/* A change of less than this part of all is small. */
+#define FEW_PEERS_SHARE 8
 
 static bool is_self(const struct relay *r, const char *name)
 {
@@ -113,7 +117,8 @@
 static bool update_role(struct rservice *v)
 {
 	unsigned wanted = homes_wanted(v, n_proxies(v->relay));
-	bool is_home = v->rank.n_before < wanted || is_spare_in_use(v);
+	bool is_home = (v->rank.n_before < wanted && v->relay->knows_fleet) ||
+		       is_spare_in_use(v);
 
 	if (is_home == v->is_home)
 		return false;
@@ -348,6 +353,53 @@
 	log_event_end(l);
 }
 
+static bool is_small_change(unsigned n, unsigned n_known)
+{
+	unsigned change = n > n_known ? n - n_known : n_known - n;
+
+	return change * FEW_PEERS_SHARE < n_known;
+}
+
+/*
+ * Failure: a whole fleet starts for the first time. Each proxy knows of few
+ * others or none, takes itself for one of few, and connects to all servers of
+ * all services, which are more than it has descriptors for. Guard: nobody is a
+ * home before a list has named this proxy, so that it is no older than its
+ * start, and grows no more. A process that starts again is listed already, and
+ * waits for nothing.
+ */
+static bool knows_fleet(const struct relay *r, uint64_t now_us)
+{
+	if (now_us >= r->started_us + PEERS_WAIT_US)
+		return true;
+	return r->self_listed && now_us >= r->peers_grew_us + PEERS_CALM_US;
+}
+
+static bool names_self(const struct relay *r,
+		       const struct relay_server_info *infos, unsigned n)
+{
+	unsigned i;
+
+	for (i = 0; i < n; i++)
+		if (is_self(r, infos[i].id))
+			return true;
+	return false;
+}
+
+static void note_list(struct relay *r, const struct relay_server_info *infos,
+		      unsigned n, uint64_t now_us)
+{
+	bool is_first = !r->peers_lists && !r->peers_held;
+	unsigned n_known = n_proxies(r);
+
+	r->self_listed = r->self_listed || names_self(r, infos, n);
+	if (is_first ? !r->self_listed :
+		       n > n_known && !is_small_change(n, n_known))
+		r->peers_grew_us = now_us;
+	if (is_first)
+		r->knows_fleet = r->self_listed;
+}
+
 static unsigned count_others(const struct relay *r,
 			     const struct relay_server_info *infos, unsigned n)
 {
@@ -421,13 +473,6 @@
 	g_ptr_array_unref(r->served);
 }
 
-static bool is_small_change(unsigned n, unsigned n_known)
-{
-	unsigned change = n > n_known ? n - n_known : n_known - n;
-
-	return change * FEW_PEERS_SHARE < n_known;
-}
-
 /*
  * In a large fleet proxies come and go all the time, and each list is work that
  * grows with the fleet. A small change may wait: whoever can't be reached any
@@ -454,6 +499,7 @@
 {
 	unsigned n_others = count_others(r, infos, n_infos);
 
+	note_list(r, infos, n_infos, now_us);
 	feed_source_on_proxies(r->feed_source, infos, n_infos);
 	rgr_on_peers(r, infos, n_infos, now_us);
 	free_held(r);
@@ -464,6 +510,15 @@
 		hold_peers(r, infos, n_infos, now_us);
 }
 
+/* Says nothing of homes, which go by all of them. */
+void relay_on_first_peers(struct relay *r,
+			  const struct relay_server_info *infos,
+			  unsigned n_infos, uint64_t now_us)
+{
+	(void)now_us;
+	feed_source_on_proxies(r->feed_source, infos, n_infos);
+}
+
 /* Another configuration: the homes of its databases. */
 void rpr_on_catalog(struct relay *r, uint64_t now_us)
 {
@@ -473,9 +528,20 @@
 	rvi_list_all(r, now_us);
 }
 
+/* Homes are taken over once it is known who else there is. */
+static void begin_serving(struct relay *r, uint64_t now_us)
+{
+	r->knows_fleet = true;
+	update_roles(r);
+	list_served(r);
+	rvi_list_all(r, now_us);
+}
+
 /* Believes a short list that nothing has followed. */
 void rpr_tick(struct relay *r, uint64_t now_us)
 {
+	if (!r->knows_fleet && knows_fleet(r, now_us))
+		begin_serving(r, now_us);
 	if (r->peers_held && now_us > r->peers_held_us + PEERS_HELD_US) {
 		take_peers(r, r->peers_held, r->n_held, now_us);
 		free_held(r);
--- a/packages/relay/src/relay.c
+++ b/packages/relay/src/relay.c
@@ -89,6 +89,7 @@
 	r->sessions = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					    rss_destroy);
 	r->peers = rpr_table();
+	r->knows_fleet = true; /* until a list says that there are others */
 	r->served = g_ptr_array_new();
 	r->active = g_ptr_array_new();
 	r->feed_source = feed_source_create(r->name, r->zone);
@@ -433,7 +434,7 @@
 	GHashTableIter iter;
 	gpointer value;
 
-	if (!r->catalog || !r->listed || r->stopping ||
+	if (!r->catalog || !r->listed || r->stopping || !r->knows_fleet ||
 	    rac_is_stale(r, r->ticked_us) || rvi_is_isolated(r, r->ticked_us) ||
 	    rco_is_any_cut_off(r, r->ticked_us))
 		return false;
--- a/packages/relay/src/relay_internal.h
+++ b/packages/relay/src/relay_internal.h
@@ -350,6 +350,9 @@
 	GHashTable *peers; /* name -> struct rpeer: other proxies */
 	unsigned peers_lists; /* how many came */
 	uint64_t peers_us; /* the last came then */
+	bool self_listed; /* one of them named this proxy */
+	bool knows_fleet; /* who else there is; see peer.c */
+	uint64_t peers_grew_us; /* by more than a few */
 	unsigned peers_changed; /* how often homes may have changed */
 	GPtrArray *served; /* struct rservice to look after; see peer.c */
 	GPtrArray *active; /* struct rserver, the same */
--- a/packages/relay/src/server_list.c
+++ b/packages/relay/src/server_list.c
@@ -62,11 +62,12 @@
 	relay_server_info_free(info);
 }
 
-/* An empty list, which is not passed on before it changes. */
-struct relay_server_list *relay_server_list_create(void)
+/* An empty list. */
+struct relay_server_list *relay_server_list_create(bool tells_empty)
 {
 	struct relay_server_list *l = g_new0(struct relay_server_list, 1);
 
+	l->changed = tells_empty;
 	l->infos = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					 free_info);
 	return l;
@@ -115,8 +116,8 @@
 	return g_hash_table_size(l->infos);
 }
 
-/* Several changes make one call. */
-void relay_server_list_pass(struct relay_server_list *l, struct relay *r,
+/* Passes on what is there so far; relay_server_list_pass() still has to. */
+void relay_server_list_show(const struct relay_server_list *l, struct relay *r,
 			    relay_list_fn pass, uint64_t now_us)
 {
 	struct relay_server_info *infos;
@@ -124,13 +125,20 @@
 	gpointer info;
 	unsigned n = 0;
 
-	if (!l->changed)
-		return;
 	infos = g_new(struct relay_server_info, g_hash_table_size(l->infos));
 	g_hash_table_iter_init(&iter, l->infos);
 	while (g_hash_table_iter_next(&iter, NULL, &info))
 		infos[n++] = *(struct relay_server_info *)info;
 	pass(r, infos, n, now_us);
 	g_free(infos);
+}
+
+/* Several changes make one call. */
+void relay_server_list_pass(struct relay_server_list *l, struct relay *r,
+			    relay_list_fn pass, uint64_t now_us)
+{
+	if (!l->changed)
+		return;
+	relay_server_list_show(l, r, pass, now_us);
 	l->changed = false;
 }
--- a/packages/relay/tests/test_rank.c
+++ b/packages/relay/tests/test_rank.c
@@ -154,6 +154,82 @@
 }
 END_TEST
 
+static bool is_home(struct fake *f)
+{
+	const struct rservice *v =
+		g_hash_table_lookup(f->relays[0].relay->services, "group0");
+
+	return v->is_home;
+}
+
+/* Tells the first n proxies, with or without this one, and lets 200 ms pass. */
+static void tell_first(struct fake *f, unsigned n, bool self)
+{
+	bool listed[PROXIES] = { false };
+	unsigned i;
+
+	for (i = 1; i < n; i++)
+		listed[i] = true;
+	listed[SELF] = self;
+	tell(f, listed);
+	relay_tick(f->relays[0].relay, f->now_us);
+	f->now_us += 200 * MS;
+	relay_tick(f->relays[0].relay, f->now_us);
+}
+
+/* Fails when a proxy of a fleet that starts takes itself for one of few. */
+START_TEST(a_proxy_waits_for_a_list_that_is_whole)
+{
+	struct fake *f = fake_create((uint32_t)_i, 1, 1);
+	struct relay *r = f->relays[0].relay;
+	unsigned n;
+
+	name_all(f);
+	tell_first(f, 0, false);
+	configure(f, 1);
+	ck_assert(!is_home(f));
+	ck_assert(!relay_is_ready(r));
+	for (n = 4; n <= PROXIES / 2; n *= 2) {
+		tell_first(f, n, n > 16);
+		ck_assert(!is_home(f));
+	}
+	f->now_us += 500 * MS;
+	relay_tick(r, f->now_us);
+	ck_assert(r->knows_fleet);
+	ck_assert_uint_eq(g_hash_table_size(r->peers), n / 2 - 1);
+	fake_destroy(f);
+}
+END_TEST
+
+/* Fails when a process that starts again is away for longer than it must. */
+START_TEST(a_proxy_that_is_listed_waits_for_nothing)
+{
+	struct fake *f = fake_create(1, 1, 1);
+
+	name_all(f);
+	tell_first(f, 3, true);
+	configure(f, 1);
+	ck_assert(is_home(f));
+	fake_destroy(f);
+}
+END_TEST
+
+/* Fails when a proxy that can't list itself never serves. */
+START_TEST(a_proxy_does_not_wait_for_ever)
+{
+	struct fake *f = fake_create(1, 1, 1);
+
+	name_all(f);
+	tell_first(f, 3, false);
+	configure(f, 1);
+	ck_assert(!is_home(f));
+	f->now_us += 4 * USEC_PER_SEC;
+	relay_tick(f->relays[0].relay, f->now_us);
+	ck_assert(is_home(f));
+	fake_destroy(f);
+}
+END_TEST
+
 /* Fails when a proxy goes on to an address that another one has left. */
 START_TEST(a_proxy_is_found_at_its_new_address)
 {
@@ -210,6 +286,9 @@
 	tcase_add_loop_test(tc, homes_follow_a_services_share_of_the_fleet, 0,
 			    4);
 	tcase_add_test(tc, small_changes_of_a_large_fleet_are_taken_together);
+	tcase_add_loop_test(tc, a_proxy_waits_for_a_list_that_is_whole, 1, 4);
+	tcase_add_test(tc, a_proxy_that_is_listed_waits_for_nothing);
+	tcase_add_test(tc, a_proxy_does_not_wait_for_ever);
 	tcase_add_test(tc, a_proxy_is_found_at_its_new_address);
 	return suite_main("rank", tc);
 }
--- a/packages/relay/tests/test_routing.c
+++ b/packages/relay/tests/test_routing.c
@@ -280,7 +280,7 @@
 /* The list as it is, with one server's entry overwritten by another writer. */
 static void list_with_a_bad_entry(struct fake *f, unsigned bad)
 {
-	struct relay_server_list *list = relay_server_list_create();
+	struct relay_server_list *list = relay_server_list_create(false);
 	unsigned i;
 
 	for (i = 0; i < GROUP_SIZE; i++) {
