--- a/packages/relay/src/relay_internal.h
+++ b/packages/relay/src/relay_internal.h
@@ -349,18 +349,18 @@
 	GHashTable *sessions; /* id -> struct rsession */
 	GHashTable *peers; /* name -> struct rpeer: other proxies */
 	unsigned peers_lists; /* how many came */
+	unsigned peers_changed; /* how often homes may have changed */
 	uint64_t peers_us; /* the last came then */
-	bool self_listed; /* one of them named this proxy */
-	bool knows_fleet; /* who else there is; see peer.c */
 	uint64_t peers_grew_us; /* by more than a few */
-	unsigned peers_changed; /* how often homes may have changed */
 	GPtrArray *served; /* struct rservice to look after; see peer.c */
 	GPtrArray *active; /* struct rserver, the same */
-	bool active_stale; /* it is to be listed anew */
 	struct feed_source *feed_source;
 	struct relay_server_info *peers_held; /* a list not believed yet */
-	unsigned n_held;
 	uint64_t peers_held_us;
+	unsigned n_held; /* proxies in it */
+	bool active_stale; /* `active` is to be listed anew */
+	bool self_listed; /* a list has named this proxy */
+	bool knows_fleet; /* who else there is; see peer.c */
 	GHashTable
 		*via; /* database -> struct rservice whose servers are homes */
 	uint64_t next_conn;
@@ -374,9 +374,9 @@
 	bool unreadable; /* a configuration that could not be read came */
 	uint64_t store_heard_us; /* the store's last answer */
 	uint64_t known_revision; /* what the store had then was told */
+	unsigned servers_lists; /* how often one came */
 	bool store_lost; /* it has not answered since */
 	bool listed; /* the list of servers came */
-	unsigned servers_lists; /* how often */
 	uint64_t started_us;
 	uint64_t ticked_us;
 	uint64_t swept_us; /* servers that are gone were taken out then */
