base: a long job that rests as long as it runs; configurations are read so

Cause of what was left: a thread that computes is not interrupted for the loop's sake before its turn is over. Now the one that reads looks at the clock every 16 elements, which json-glib's parser tells of, and sleeps for as long as it ran when that was 4 ms or more. So the loop has half of the processor, and waits some 10 ms at a time. Reading takes twice as long, 1 s on an eighth of a core, of 8 s that a configuration may take.

The rest is not traced: the answer's own tree (6 ms of a whole core).

--- a/packages/base/include/celeryquay/base/settings.h
+++ b/packages/base/include/celeryquay/base/settings.h
@@ -9,6 +9,7 @@
  */
 
 #include <celeryquay/base/err.h>
+#include <celeryquay/base/pace.h>
 #include <json-glib/json-glib.h>
 #include <stdbool.h>
 #include <stdint.h>
@@ -18,6 +19,10 @@
 struct settings *settings_from_file(const char *path, struct err *err);
 struct settings *settings_from_data(const char *source, const char *data,
 				    size_t len, struct err *err);
+/* The same for a large object: `pace` is stepped while it is read; or NULL. */
+struct settings *settings_from_data_paced(const char *source, const char *data,
+					  size_t len, struct pace *pace,
+					  struct err *err);
 struct settings *settings_child(struct settings *parent, const char *key,
 				struct err *err);
 unsigned settings_list_length(struct settings *s, const char *key);
--- a/packages/base/src/settings.c
+++ b/packages/base/src/settings.c
@@ -16,6 +16,7 @@
 	JsonNode *root; /* owned by this reader */
 	JsonObject *object; /* within root */
 	GHashTable *known; /* keys that were asked for */
+	struct pace *pace; /* of who reads it; NULL: in one go */
 };
 
 static struct settings *reader_create(char *source, JsonNode *node)
@@ -55,12 +56,30 @@
 	return false;
 }
 
+/* The parser tells of each element that it has read. */
+static void on_element(JsonParser *parser, JsonArray *array, gint index,
+		       gpointer pace)
+{
+	(void)parser;
+	(void)array;
+	(void)index;
+	pace_step(pace);
+}
+
 /*
  * Reads one JSON object from memory. The source is what complaints name.
  * NULL and BAD_SETTINGS when it isn't JSON or isn't an object.
  */
 struct settings *settings_from_data(const char *source, const char *data,
 				    size_t len, struct err *err)
+{
+	return settings_from_data_paced(source, data, len, NULL, err);
+}
+
+/* The same; what is read from it by settings_each() is paced, too. */
+struct settings *settings_from_data_paced(const char *source, const char *data,
+					  size_t len, struct pace *pace,
+					  struct err *err)
 {
 	JsonParser *parser;
 	struct settings *s = NULL;
@@ -72,6 +91,9 @@
 		return NULL;
 	}
 	parser = json_parser_new();
+	if (pace)
+		g_signal_connect(parser, "array-element",
+				 G_CALLBACK(on_element), pace);
 	if (!json_parser_load_from_data(parser, data, (gssize)len, &error)) {
 		err_set(err, ERR_BAD_SETTINGS, "%s: %s", source,
 			error->message);
@@ -84,6 +106,7 @@
 		goto out;
 	}
 	s = reader_create(g_strdup(source), json_node_copy(root));
+	s->pace = pace;
 out:
 	g_object_unref(parser);
 	return s;
@@ -168,11 +191,31 @@
 			     json_node_copy(node));
 }
 
+/* Frees the objects of a list one by one. */
+static void empty_list(JsonObject *object, const gchar *name, JsonNode *node,
+		       gpointer pace)
+{
+	JsonArray *list;
+	unsigned n;
+
+	(void)object;
+	(void)name;
+	if (!JSON_NODE_HOLDS_ARRAY(node))
+		return;
+	list = json_node_get_array(node);
+	for (n = json_array_get_length(list); n; n--) {
+		json_array_remove_element(list, n - 1);
+		pace_step(pace);
+	}
+}
+
 /* Frees the reader; children live on by themselves. */
 void settings_destroy(struct settings *s)
 {
 	if (!s)
 		return;
+	if (s->pace)
+		json_object_foreach_member(s->object, empty_list, s->pace);
 	g_hash_table_destroy(s->known);
 	json_node_unref(s->root);
 	g_free(s->source);
@@ -316,6 +359,7 @@
 
 		ok = item && take(ctx, item, err);
 		settings_destroy(item);
+		pace_step(s->pace);
 	}
 	return ok;
 }
--- a/packages/base/tests/test_base.c
+++ b/packages/base/tests/test_base.c
@@ -1,3 +1,4 @@
+#include <celeryquay/base/clock.h>
 #include <celeryquay/base/counter.h>
 #include <celeryquay/base/err.h>
 #include <celeryquay/base/settings.h>
@@ -188,6 +189,44 @@
 }
 END_TEST
 
+/* Fails when a long job takes the processor from those that wait for it. */
+START_TEST(a_paced_job_rests_for_as_long_as_it_runs)
+{
+	uint64_t began_us = clock_boot_us(), busy_us = 0, from_us;
+	struct pace pace = { 0 };
+
+	pace_step(NULL);
+	while (busy_us < 40000) {
+		from_us = clock_boot_us();
+		while (clock_boot_us() < from_us + 1000)
+			;
+		busy_us += 1000;
+		/* The clock is looked at now and then. */
+		pace.steps = 15;
+		pace_step(&pace);
+	}
+	ck_assert_uint_ge(clock_boot_us() - began_us, 40000 + 40000 * 3 / 4);
+}
+END_TEST
+
+START_TEST(a_paced_object_is_read_like_another)
+{
+	const char *text = "{\"list\": [{\"n\": 1}, {\"n\": 2}], \"m\": 3}";
+	struct pace pace = { 0 };
+	struct err err = { 0 };
+	struct settings *s = settings_from_data_paced(
+		"item", text, strlen(text), &pace, &err);
+	int64_t m = 0;
+
+	ck_assert_ptr_nonnull(s);
+	ck_assert_uint_eq(settings_list_length(s, "list"), 2);
+	ck_assert(settings_int(s, "m", 0, 9, 0, &m, &err));
+	ck_assert_int_eq(m, 3);
+	ck_assert_uint_ge(pace.steps, 2);
+	settings_destroy(s);
+}
+END_TEST
+
 START_TEST(counters_write_one_family_each)
 {
 	struct counter_set *set = counter_set_create();
@@ -230,6 +269,8 @@
 	tcase_add_test(tests, settings_take_amounts_with_a_fraction);
 	tcase_add_test(tests, settings_refuse_what_is_no_object);
 	tcase_add_test(tests, settings_refuse_deep_nesting);
+	tcase_add_test(tests, a_paced_job_rests_for_as_long_as_it_runs);
+	tcase_add_test(tests, a_paced_object_is_read_like_another);
 	tcase_add_test(tests, counters_write_one_family_each);
 	return suite_main("base", tests);
 }
