relay: roles apart from the list of proxies

peer.c had grown to 540 lines with two subjects: the proxies that the store lists, and which services this one is a home of. Functions are moved and renamed, nothing else; relay tests pass unchanged but for the names.

--- a/packages/relay/src/listed.c
+++ b/packages/relay/src/listed.c
@@ -18,7 +18,7 @@
 	v = rservice_create(r, name);
 	v->configured = r->catalog && relay_catalog_service(r->catalog, name);
 	g_hash_table_insert(r->services, v->name, v);
-	rpr_on_service(v);
+	rrl_on_service(v);
 	return v;
 }
 
--- a/packages/relay/src/peer.c
+++ b/packages/relay/src/peer.c
@@ -1,10 +1,5 @@
 /*
- * Other proxies. A server's connections are for all proxies together. Where
- * there are too many proxies for each to have some, only a few of them, the
- * service's homes, connect to its servers; the others lend their sessions
- * connections to homes. A home treats these as sessions of its own, so every
- * decision about servers is made there; the session's values, prepared
- * statements and floor come along with each use: via.c.
+ * Other proxies, as the store lists them.
  */
 #define LOG_MODULE "peer"
 #include "relay_internal.h"
@@ -12,27 +7,6 @@
 #include <celeryquay/base/log.h>
 #include <celeryquay/relay/server_list.h>
 
-/* Tenths of a connection at a server, for a proxy that serves by itself. */
-#define DIRECT_TENTHS 25
-#define HOME_CONNS 5 /* at a server, for a home */
-#define HOMES_LEAST 4
-/*
- * Each home probes each server, and knows of the others' load only by that:
- * with 34 homes before servers of 170 connections a day had 43,900 statements
- * of the proxies' own, with 16 homes 15,800.
- */
-#define HOMES_MOST 16
-#define HOMES_MAX 64
-/* Homes that each proxy is for others, where services share a fleet. */
-#define HOMES_A_PROXY 2
-/*
- * Proxies next in rank to the homes, for those that reach none. Of a split
- * that leaves a third of the proxies on one side, four more leave one service
- * in 6,561 without any on that side; four homes alone, one in 81.
- */
-#define SPARES 4
-/* A spare that nobody has asked for so long is none any more. */
-#define SPARE_US (10 * USEC_PER_SEC)
 #define PEERS_HELD_US (8 * USEC_PER_SEC)
 /* Between two lists, for each proxy that is known. */
 #define PEERS_PAUSE_US USEC_PER_MSEC
@@ -48,213 +22,6 @@
 	return !strcmp(r->name, name);
 }
 
-static unsigned n_proxies(const struct relay *r)
-{
-	return g_hash_table_size(r->peers) + 1;
-}
-
-/*
- * A service's share of the fleet. A fleet is sized for what all services have
- * to do; where they are as many as the proxies, homes by the servers'
- * connections alone would keep a connection to each of these for hardly a
- * statement, and probe it all the same.
- */
-static unsigned fleet_share(const struct rservice *v, unsigned n)
-{
-	const struct relay_catalog *c = v->relay->catalog;
-	unsigned n_services = c ? relay_catalog_services(c) : 0;
-
-	return n * HOMES_A_PROXY / MAX(n_services, 1);
-}
-
-/* How many of n proxies are homes of the service. */
-static unsigned homes_wanted(const struct rservice *v, unsigned n)
-{
-	unsigned limit = v->max_connections;
-	unsigned most = MIN(HOMES_MOST, fleet_share(v, n));
-
-	if (!limit || n * DIRECT_TENTHS <= limit * 10)
-		return MIN(n, HOMES_MAX);
-	return MIN(MAX(MIN(limit / HOME_CONNS, most), HOMES_LEAST), n);
-}
-
-static void log_home(const struct rservice *v, unsigned n_proxies)
-{
-	struct log_line *l = log_event(LOG_STATE, "home");
-
-	if (!l)
-		return;
-	log_cstr(l, "service", v->name);
-	log_bool(l, "home", v->is_home);
-	log_u64(l, "proxies", n_proxies);
-	log_u64(l, "limit", v->max_connections);
-	log_event_end(l);
-}
-
-/* Nobody was looked for before; it can't be missing yet. */
-static void become_home(struct rservice *v)
-{
-	v->is_home = true;
-	v->no_primary_us = v->relay->ticked_us;
-	v->usable_us = 0;
-	log_home(v, n_proxies(v->relay));
-}
-
-/* Whether this proxy stands in for homes that others don't reach. */
-static bool is_spare_in_use(const struct rservice *v)
-{
-	return v->spare_us && v->relay->ticked_us < v->spare_us + SPARE_US;
-}
-
-static void end_home(struct rservice *v)
-{
-	v->is_home = false;
-	if (v->servers->len)
-		log_home(v, n_proxies(v->relay));
-}
-
-/* Becomes a home of the service, or ends being one; whether it did. */
-static bool update_role(struct rservice *v)
-{
-	unsigned wanted = homes_wanted(v, n_proxies(v->relay));
-	bool is_home = (v->rank.n_before < wanted && v->relay->knows_fleet) ||
-		       is_spare_in_use(v);
-
-	if (is_home == v->is_home)
-		return false;
-	if (is_home)
-		become_home(v);
-	else
-		end_home(v);
-	return true;
-}
-
-/*
- * Lists the services whose servers must be looked after here: the rest of a
- * large fleet's costs nothing between two changes.
- */
-static void list_served(struct relay *r)
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	r->active_stale = true;
-	g_ptr_array_set_size(r->served, 0);
-	g_hash_table_iter_init(&iter, r->services);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct rservice *v = value;
-
-		if ((v->is_home && v->configured) || rch_is_running(v))
-			g_ptr_array_add(r->served, v);
-	}
-}
-
-/* Whether one was changed. */
-static bool update_roles(struct relay *r)
-{
-	GHashTableIter iter;
-	gpointer value;
-	bool changed = false;
-
-	g_hash_table_iter_init(&iter, r->services);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		changed |= update_role(value);
-	return changed;
-}
-
-/* Copies the names of others; whether they differ from those before. */
-static bool copy_names(GPtrArray *to, const char *const *names, unsigned n,
-		       const char *self)
-{
-	unsigned i, n_others = 0;
-	bool differs = false;
-
-	for (i = 0; i < n; i++) {
-		if (!strcmp(names[i], self))
-			continue;
-		if (n_others == to->len)
-			g_ptr_array_add(to, NULL);
-		if (g_strcmp0(to->pdata[n_others], names[i])) {
-			g_free(to->pdata[n_others]);
-			to->pdata[n_others] = g_strdup(names[i]);
-			differs = true;
-		}
-		n_others++;
-	}
-	differs |= n_others < to->len;
-	g_ptr_array_set_size(to, (gint)n_others);
-	return differs;
-}
-
-/* Brings the names of the service's homes and spares up to date. */
-static void list_homes(struct rservice *v)
-{
-	const char *names[HOMES_MAX];
-	unsigned n_homes = homes_wanted(v, n_proxies(v->relay));
-	unsigned n = rrk_first(v, names, MIN(n_homes + SPARES, HOMES_MAX));
-
-	if (copy_names(v->homes, names, n_homes, v->relay->name))
-		v->homes_changed++;
-	copy_names(v->spares, names + n_homes, n - n_homes, v->relay->name);
-	v->homes_of = v->relay->peers_changed;
-}
-
-/* The names of the other homes. */
-GPtrArray *rpr_homes(struct rservice *v)
-{
-	if (v->homes_of != v->relay->peers_changed)
-		list_homes(v);
-	return v->homes;
-}
-
-/* The names of those next in rank; see via.c. */
-GPtrArray *rpr_spares(struct rservice *v)
-{
-	rpr_homes(v);
-	return v->spares;
-}
-
-/* A service that nobody knew before. */
-void rpr_on_service(struct rservice *v)
-{
-	rrk_init(v);
-	update_role(v);
-}
-
-/*
- * Another proxy wants the service served here. One that isn't a home becomes
- * one for a while: it is a spare, asked by proxies that reach no home.
- */
-void rpr_on_asked(struct rservice *v, uint64_t now_us)
-{
-	if (v->is_home && !v->spare_us)
-		return;
-	v->spare_us = now_us;
-	if (v->is_home)
-		return;
-	become_home(v);
-	list_served(v->relay);
-}
-
-/* Spares that are not asked any more end being homes. */
-static void end_spares(struct relay *r, uint64_t now_us)
-{
-	bool ended = false;
-	unsigned i;
-
-	for (i = 0; i < r->served->len; i++) {
-		struct rservice *v = g_ptr_array_index(r->served, i);
-
-		if (!v->spare_us || now_us < v->spare_us + SPARE_US ||
-		    rch_is_running(v))
-			continue;
-		v->spare_us = 0;
-		ended |= update_role(v);
-	}
-	if (ended)
-		list_served(r);
-}
-
 /* Another proxy. */
 struct rpeer {
 	struct relay_server_info info;
@@ -390,7 +157,7 @@
 		      unsigned n, uint64_t now_us)
 {
 	bool is_first = !r->peers_lists && !r->peers_held;
-	unsigned n_known = n_proxies(r);
+	unsigned n_known = rrl_proxies(r);
 
 	r->self_listed = r->self_listed || names_self(r, infos, n);
 	if (is_first ? !r->self_listed :
@@ -436,8 +203,8 @@
 {
 	log_peers(r, "proxies", count_others(r, infos, n));
 	merge_peers(r, infos, n, now_us);
-	if (update_roles(r))
-		list_served(r);
+	if (rrl_update(r))
+		rrl_list_served(r);
 	rvi_list_all(r, now_us);
 	rrun_dispatch(r, now_us);
 }
@@ -480,7 +247,7 @@
  */
 bool relay_takes_peers(const struct relay *r, unsigned n, uint64_t now_us)
 {
-	unsigned n_known = n_proxies(r);
+	unsigned n_known = rrl_proxies(r);
 
 	return r->settings.limits || !is_small_change(n, n_known) ||
 	       now_us >= r->peers_us + n_known * PEERS_PAUSE_US;
@@ -523,8 +290,8 @@
 void rpr_on_catalog(struct relay *r, uint64_t now_us)
 {
 	r->peers_changed++; /* other limits, other homes */
-	update_roles(r);
-	list_served(r); /* also for services that come or go */
+	rrl_update(r);
+	rrl_list_served(r); /* also for services that come or go */
 	rvi_list_all(r, now_us);
 }
 
@@ -532,8 +299,8 @@
 static void begin_serving(struct relay *r, uint64_t now_us)
 {
 	r->knows_fleet = true;
-	update_roles(r);
-	list_served(r);
+	rrl_update(r);
+	rrl_list_served(r);
 	rvi_list_all(r, now_us);
 }
 
@@ -546,5 +313,5 @@
 		take_peers(r, r->peers_held, r->n_held, now_us);
 		free_held(r);
 	}
-	end_spares(r, now_us);
+	rrl_end_spares(r, now_us);
 }
--- a/packages/relay/src/pick.c
+++ b/packages/relay/src/pick.c
@@ -250,7 +250,7 @@
 		return;
 	}
 	if (s->peer)
-		rpr_on_asked(v, now_us);
+		rrl_on_asked(v, now_us);
 	rpk_note_primary_use(v, v->wanted_us, now_us);
 	v->wanted_us = now_us;
 	rld_renew(v, now_us);
--- a/packages/relay/src/relay_internal.h
+++ b/packages/relay/src/relay_internal.h
@@ -7,10 +7,10 @@
  * that a session has in flight, rpk_ which server runs it, rld_ who is
  * primary, rwd_ whose word on that counts, rch_ its replacement, rfn_ the
  * fence of that, rdt_ the duty record, rtd_ what changes leave behind, rco_
- * network partitions, rpr_ other proxies, rrk_ their ranks, rvi_ homes that
- * sessions go through, rac_ client accounts, rlm_ their limits, rgr_ who gives
- * tokens of these, rol_ servers that fail in part, rcl_ limits of what is in
- * flight at a server, rlg_ log lines, rmt_ metrics.
+ * network partitions, rpr_ other proxies, rrl_ roles, rrk_ ranks, rvi_ homes
+ * that sessions go through, rac_ client accounts, rlm_ their limits, rgr_ who
+ * gives tokens of these, rol_ servers that fail in part, rcl_ limits of what is
+ * in flight at a server, rlg_ log lines, rmt_ metrics.
  */
 
 #include <celeryquay/base/log_event.h>
@@ -184,8 +184,8 @@
 	bool stepped_down; /* the old primary said so */
 	unsigned n_samples;
 	struct rrank rank;
-	GPtrArray *homes; /* names; only rpr_homes() has them up to date */
-	GPtrArray *spares; /* names; the same with rpr_spares() */
+	GPtrArray *homes; /* names; only rrl_homes() has them up to date */
+	GPtrArray *spares; /* names; the same with rrl_spares() */
 	unsigned homes_of; /* the relay's peers_changed that they are of */
 	uint64_t spare_us; /* as a spare, this proxy was asked last then */
 	unsigned homes_changed; /* how often; peers: when they were listed */
@@ -352,7 +352,7 @@
 	unsigned peers_changed; /* how often homes may have changed */
 	uint64_t peers_us; /* the last came then */
 	uint64_t peers_grew_us; /* by more than a few */
-	GPtrArray *served; /* struct rservice to look after; see peer.c */
+	GPtrArray *served; /* struct rservice to look after; see role.c */
 	GPtrArray *active; /* struct rserver, the same */
 	struct feed_source *feed_source;
 	struct relay_server_info *peers_held; /* a list not believed yet */
@@ -567,13 +567,19 @@
 void rpr_clear(struct relay *r);
 const struct relay_server_info *rpr_find(const struct relay *r,
 					 const char *name);
-GPtrArray *rpr_homes(struct rservice *v);
-GPtrArray *rpr_spares(struct rservice *v);
-void rpr_on_service(struct rservice *v);
-void rpr_on_asked(struct rservice *v, uint64_t now_us);
 void rpr_on_catalog(struct relay *r, uint64_t now_us);
 void rpr_tick(struct relay *r, uint64_t now_us);
 
+/* role.c */
+unsigned rrl_proxies(const struct relay *r);
+bool rrl_update(struct relay *r);
+void rrl_list_served(struct relay *r);
+GPtrArray *rrl_homes(struct rservice *v);
+GPtrArray *rrl_spares(struct rservice *v);
+void rrl_on_service(struct rservice *v);
+void rrl_on_asked(struct rservice *v, uint64_t now_us);
+void rrl_end_spares(struct relay *r, uint64_t now_us);
+
 /* rank.c */
 void rrk_init(struct rservice *v);
 void rrk_on_come(struct rservice *v, const char *name);
--- a/packages/relay/src/via.c
+++ b/packages/relay/src/via.c
@@ -108,7 +108,7 @@
 static void list_homes(struct rservice *via, struct rservice *v,
 		       uint64_t now_us)
 {
-	const GPtrArray *homes = rpr_homes(v);
+	const GPtrArray *homes = rrl_homes(v);
 	unsigned i;
 
 	unlist_homes(via, now_us);
@@ -131,7 +131,7 @@
 /* Whether the service's homes are others than those that are listed. */
 static bool are_homes_other(const struct rservice *via, struct rservice *v)
 {
-	rpr_homes(v);
+	rrl_homes(v);
 	return via->homes_changed != v->homes_changed;
 }
 
@@ -226,9 +226,9 @@
 	}
 	if (n_good >= VIA_HOMES || n_listed >= VIA_HOMES_MOST)
 		return;
-	p = next_of(rpr_homes(v), v, via);
+	p = next_of(rrl_homes(v), v, via);
 	if (!p && !is_reached(via))
-		p = next_of(rpr_spares(v), v, via);
+		p = next_of(rrl_spares(v), v, via);
 	if (p)
 		rvi_list_home(via, p, now_us);
 }
@@ -357,7 +357,7 @@
 /* Whether a run of a caller's may go through another proxy. */
 bool rvi_may_help(const struct rsession *s, struct rservice *v, uint64_t now_us)
 {
-	return !s->peer && rpr_homes(v)->len && s->run.tries < HELP_TRIES &&
+	return !s->peer && rrl_homes(v)->len && s->run.tries < HELP_TRIES &&
 	       others_may_reach(v, now_us);
 }
 
@@ -393,7 +393,7 @@
  */
 bool rvi_is_cut_off(struct rservice *v, uint64_t now_us)
 {
-	if (!rpr_homes(v)->len || !v->primary || !others_may_reach(v, now_us))
+	if (!rrl_homes(v)->len || !v->primary || !others_may_reach(v, now_us))
 		return false;
 	return (v->in_vain_us && now_us > v->in_vain_us + HELP_AFTER_US) ||
 	       is_known_to_fail(v, now_us);
--- a/packages/relay/tests/test_homes.c
+++ b/packages/relay/tests/test_homes.c
@@ -192,7 +192,7 @@
 	relay_on_catalog(r, c, f->now_us);
 	relay_on_peers(r, infos, G_N_ELEMENTS(infos), f->now_us);
 	v = g_hash_table_lookup(r->services, "group0");
-	ck_assert_uint_eq(rpr_homes(v)->len + v->is_home, limits[_i][1]);
+	ck_assert_uint_eq(rrl_homes(v)->len + v->is_home, limits[_i][1]);
 	for (i = 0; i < G_N_ELEMENTS(infos); i++)
 		g_free(infos[i].id);
 	relay_catalog_unref(c);
@@ -479,7 +479,7 @@
 	}
 	ck_assert_uint_gt(n_left, 0);
 	v = g_hash_table_lookup(f->relays[relay].relay->services, "group0");
-	g_ptr_array_set_size(rpr_spares(v), 0);
+	g_ptr_array_set_size(rrl_spares(v), 0);
 	for (i = 0; i < 100; i++) {
 		if (s->open)
 			hist_run(f, s, RELAY_READ, "", "1");
--- a/packages/relay/tests/test_rank.c
+++ b/packages/relay/tests/test_rank.c
@@ -102,8 +102,8 @@
 		is_home |= !strcmp(expected[i], names[SELF]);
 	ck_assert_uint_eq(n, 20);
 	ck_assert_int_eq(v->is_home, is_home);
-	check_names(rpr_homes(v), expected, 16);
-	check_names(rpr_spares(v), expected + 16, 4);
+	check_names(rrl_homes(v), expected, 16);
+	check_names(rrl_spares(v), expected + 16, 4);
 }
 
 /* Fails when proxies disagree on homes after a list that changed in parts. */
@@ -272,8 +272,8 @@
 	configure(f, homes[_i][0]);
 	tell(f, listed);
 	v = g_hash_table_lookup(f->relays[0].relay->services, "group0");
-	ck_assert_uint_eq(rpr_homes(v)->len + v->is_home, homes[_i][1]);
-	ck_assert_uint_eq(rpr_spares(v)->len, 4);
+	ck_assert_uint_eq(rrl_homes(v)->len + v->is_home, homes[_i][1]);
+	ck_assert_uint_eq(rrl_spares(v)->len, 4);
 	fake_destroy(f);
 }
 END_TEST
