via: homes of a database at rest are connected to at once

What callers saw: in a fleet of as many databases as proxies nearly every operation is the first of its database at its proxy for a while. Its homes were listed with it, and connected to with the next tick: 10 ms on average, 20 at most, of a latency target of 150.

Way weighed and left: one home at first and the others when it is asked again, which halves what a first operation costs but finds a dead home only by its silence.

--- a/packages/relay/src/via.c
+++ b/packages/relay/src/via.c
@@ -419,6 +419,22 @@
 	return v && v->is_home && s->run.tries + 1 < HELP_TRIES;
 }
 
+/*
+ * A database that was at rest is asked for: its homes are connected to now, not
+ * with the next tick.
+ */
+static void open_homes(struct rservice *via, uint64_t now_us)
+{
+	unsigned i;
+
+	for (i = 0; i < via->servers->len; i++) {
+		struct rserver *s = rservice_server(via, i);
+
+		if (s->listed && !s->heard_us && !s->n_conns)
+			rsv_tick(s, now_us);
+	}
+}
+
 /* Chooses a home for the session's run. */
 void rvi_choose(struct rsession *s, const struct relay_profile *profile,
 		struct rservice *v, struct rpick *out, uint64_t now_us)
@@ -438,8 +454,10 @@
 		if (server->listed && rsv_is_up(server))
 			rpk_consider(server, &best, &least, s, now_us);
 	}
-	if (!best)
+	if (!best) {
+		open_homes(via, now_us);
 		return;
+	}
 	out->server = best;
 	out->why = "home";
 	if (profile->kind == RELAY_KIND_OWN_WRITES && !s->run.to_primary)
--- a/packages/relay/tests/test_homes.c
+++ b/packages/relay/tests/test_homes.c
@@ -136,6 +136,25 @@
 }
 END_TEST
 
+/* Fails when a statement waits for the next tick before a home is called. */
+START_TEST(homes_are_connected_to_when_they_are_asked_for)
+{
+	struct fake *f = start((uint32_t)_i, RELAYS);
+	unsigned entry = nth(f, false, 0);
+	struct relay *r = f->relays[entry].relay;
+	struct hist_session *s = hist_open(f, entry, 0, RELAY_KIND_OWN_WRITES);
+
+	ck_assert_uint_eq(g_hash_table_size(r->conns), 0);
+	hist_start(f, s, RELAY_READ, "", "1");
+	while (!g_hash_table_size(r->via))
+		fake_run(f, MS / 10);
+	ck_assert_uint_ge(g_hash_table_size(r->conns), 1);
+	fake_run(f, USEC_PER_SEC);
+	ck_assert_int_eq(s->told, RELAY_OK);
+	end(f);
+}
+END_TEST
+
 /* Fails when connections to homes are kept for databases at rest. */
 START_TEST(homes_that_nobody_asks_for_are_let_go)
 {
@@ -728,6 +747,8 @@
 	tcase_add_loop_test(tc, test_no_proxy_leaves_for_an_outage_of_the_store,
 			    0, 6);
 	tcase_add_loop_test(tc, test_way_round_a_cut, 0, 6);
+	tcase_add_loop_test(tc, homes_are_connected_to_when_they_are_asked_for,
+			    0, 5);
 	tcase_add_loop_test(tc, homes_that_nobody_asks_for_are_let_go, 0, 5);
 	tcase_add_loop_test(tc, test_the_way_round_ends_in_time, 0, 60);
 	tcase_add_loop_test(tc, test_a_lapsed_list_makes_no_homes, 0, 3);
