--- a/packages/relay/include/celeryquay/relay/relay.h
+++ b/packages/relay/include/celeryquay/relay/relay.h
@@ -173,6 +173,11 @@
 void relay_on_revision(struct relay *r, uint64_t revision);
 /* Called with each answer of the store, and each call that got none. */
 void relay_on_store(struct relay *r, bool answers, uint64_t now_us);
+/*
+ * The store came back from an older copy: writes that it had acknowledged may
+ * be gone. It has a new era.
+ */
+void relay_on_store_returned(struct relay *r, uint64_t era, uint64_t now_us);
 /*
  * Another proxy passed on what the store said at heard_us; the store does not
  * answer that proxy now.
--- a/packages/relay/src/relay.c
+++ b/packages/relay/src/relay.c
@@ -270,6 +270,21 @@
 		r->store_heard_at_us = now_us;
 }
 
+/* The store came back from an older copy, in this era. */
+void relay_on_store_returned(struct relay *r, uint64_t era, uint64_t now_us)
+{
+	struct log_line *l = log_event(LOG_STATE, "store-returned");
+
+	rmetrics_store_returned(r, era);
+	if (!l)
+		return;
+	log_u64(l, "era", era);
+	log_u64(l, "revision", r->known_revision);
+	log_u64(l, "heard_ms",
+		(now_us - MIN(r->store_heard_at_us, now_us)) / USEC_PER_MSEC);
+	log_event_end(l);
+}
+
 /* Sets the age of what is known, but not whether the store answers. */
 void relay_on_store_heard_at(struct relay *r, uint64_t heard_us)
 {
--- a/packages/relay/src/relay_internal.h
+++ b/packages/relay/src/relay_internal.h
@@ -768,6 +768,7 @@
 			uint64_t now_us);
 void rmetrics_waited(const struct relay *r, uint64_t us);
 void rmetrics_answered(const struct rserver *s, uint64_t us);
+void rmetrics_store_returned(struct relay *r, uint64_t era);
 void rmetrics_store_call(const struct relay *r, uint64_t us);
 void rmetrics_pause(const struct relay *r);
 void rmetrics_fence_repeated(const struct relay *r);
--- a/packages/relay/src/rmetrics.c
+++ b/packages/relay/src/rmetrics.c
@@ -11,6 +11,8 @@
 	struct counter *server;
 	struct counter *hop;
 	struct counter *store_call;
+	struct counter *store_returns;
+	struct counter *store_era;
 	struct counter *pauses;
 	struct counter *fences_again;
 	struct counter *sessions;
@@ -82,6 +84,8 @@
 	m->servers = gauge(set, "celeryquay_relay_servers", "servers known");
 	m->servers_down = gauge(set, "celeryquay_relay_servers_down",
 				"of these, the ones that do not answer");
+	m->store_era = gauge(set, "celeryquay_relay_store_era",
+			     "the store's era since its last return");
 	m->proxies = gauge(set, "celeryquay_relay_proxies",
 			   "other proxies that are listed");
 	m->without_primary = gauge(set,
@@ -108,6 +112,9 @@
 				  NULL,
 				  "the store's answer to a call that does "
 				  "not wait for news");
+	m->store_returns = counter_get(
+		set, COUNTER_COUNT, "celeryquay_relay_store_returns_total",
+		NULL, "returns of the store from an older copy");
 	m->pauses = counter_get(set, COUNTER_COUNT,
 				"celeryquay_relay_pauses_total", NULL,
 				"pauses sent to servers, repeats included");
@@ -124,6 +131,13 @@
 	g_free(m);
 }
 
+/* The store came back from an older copy. */
+void rmetrics_store_returned(struct relay *r, uint64_t era)
+{
+	counter_add(r->metrics->store_returns, 1);
+	counter_set(r->metrics->store_era, (int64_t)era);
+}
+
 /* A statement is answered to its caller. */
 void rmetrics_statement(const struct rsession *s, enum relay_code code,
 			uint64_t now_us)
--- a/packages/transport/include/celeryquay/transport/http.h
+++ b/packages/transport/include/celeryquay/transport/http.h
@@ -54,6 +54,9 @@
 struct http_call *http_start(struct http *h, const struct http_request *request,
 			     const struct http_events *events, void *ctx);
 void http_cancel(struct http_call *call);
+/* A header of the response, NULL if it has none; valid until done() returns. */
+const char *http_response_header(const struct http_call *call,
+				 const char *name);
 /* Whether any part of the response body has been received. */
 bool http_response_body_has_begun(const struct http_call *call);
 
--- a/packages/transport/include/celeryquay/transport/kv_follow.h
+++ b/packages/transport/include/celeryquay/transport/kv_follow.h
@@ -61,6 +61,11 @@
 	/* Writes an answer in the format that read() parses. */
 	void (*write)(GString *out, const struct kv_answer *answer,
 		      const struct kv_item *items, unsigned n);
+	/*
+	 * Response header with the store's era: a number that rises when the
+	 * store comes back from an older copy. NULL: it has none.
+	 */
+	const char *era_header;
 	long history_gone_status; /* HTTP status for an `at` whose history is
 				     gone */
 	long not_found; /* HTTP status for a key that doesn't exist */
@@ -111,6 +116,14 @@
 	 * it was no watch, otherwise 0.
 	 */
 	void (*store_call_ended)(void *ctx, bool answers, uint64_t took_us);
+	/*
+	 * The store came back from an older copy: what was written since that
+	 * copy is gone, and its revisions are given out again.
+	 */
+	void (*store_returned)(void *ctx, uint64_t era);
+	/* An item of a key was ignored, because a newer one is known. */
+	void (*left_aside)(void *ctx, const char *key, uint64_t revision,
+			   uint64_t known);
 	/* An answer of len bytes is malformed; the call will be repeated. */
 	void (*refused)(void *ctx, long status, size_t len);
 	/*
--- a/packages/transport/include/celeryquay/transport/ready.h
+++ b/packages/transport/include/celeryquay/transport/ready.h
@@ -28,6 +28,9 @@
 	void (*ask)(void *ctx, struct str query, struct ready_request *wait);
 };
 
+/* Adds a header to the answer. */
+void ready_add_header(struct ready_request *w, const char *name,
+		      const char *value);
 /* Answers the request, once; the wait is invalid afterwards. */
 void ready_answer(struct ready_request *w, int status, struct str body);
 /*
--- a/packages/transport/src/http.c
+++ b/packages/transport/src/http.c
@@ -469,6 +469,16 @@
 	return call;
 }
 
+/* A header of the response, NULL if it has none; valid until done() returns. */
+const char *http_response_header(const struct http_call *call, const char *name)
+{
+	struct curl_header *header;
+
+	if (curl_easy_header(call->easy, name, 0, CURLH_HEADER, -1, &header))
+		return NULL;
+	return header->value;
+}
+
 /* Whether any part of the response body has been received. */
 bool http_response_body_has_begun(const struct http_call *call)
 {
--- a/packages/transport/src/kv_follow.c
+++ b/packages/transport/src/kv_follow.c
@@ -53,6 +53,7 @@
 	struct kv_source source;
 	uint64_t cursor; /* where the next watch starts; 0: a range is due */
 	uint64_t known_revision; /* everything up to this revision is known */
+	uint64_t era; /* of the store; 0: unknown */
 	uint64_t range_revision; /* revision of the store at the first page */
 	uint64_t range_cursor;
 	uint64_t range_sent_at_us; /* when the first page was requested */
@@ -187,6 +188,14 @@
 		g_clear_pointer(&f->missing_key, g_free);
 }
 
+static void report_left_aside(struct kv_follow *f, const struct kv_item *item)
+{
+	uint64_t known = kv_table_revision(f->table, item->key);
+
+	if (item->revision < known)
+		f->events->left_aside(f->ctx, item->key, item->revision, known);
+}
+
 static void take_item(void *ctx, const struct kv_item *item)
 {
 	struct kv_follow *f = ctx;
@@ -203,6 +212,8 @@
 			note_omitted(f, item->key);
 	} else if (kv_table_put(f->table, item->key, item->revision)) {
 		f->events->set(f->ctx, item->key, item->revision, item->value);
+	} else {
+		report_left_aside(f, item);
 	}
 }
 
@@ -301,7 +312,9 @@
 /* The store no longer has the history after the cursor. */
 static void reset_watch(struct kv_follow *f)
 {
-	LOG_INFO("the watch from %" G_GUINT64_FORMAT " is too old", f->cursor);
+	LOG_INFO("the watch from %" G_GUINT64_FORMAT
+		 " is not possible in era %" G_GUINT64_FORMAT,
+		 f->cursor, f->era);
 	if (!f->feed)
 		report_store_result(f, true, 0);
 	f->retry_delay_ms = 0;
@@ -410,6 +423,21 @@
 	uv_timer_start(&f->retry, on_retry, FEED_BATCH_DELAY_MS, 0);
 }
 
+/* Reports a return of the store. Only its own answers carry an era. */
+static void note_era(struct kv_follow *f, const struct http_call *call)
+{
+	const char *text = NULL;
+	uint64_t era;
+
+	if (!f->feed && f->codec->era_header)
+		text = http_response_header(call, f->codec->era_header);
+	if (!text || !str_to_u64(str_from_c(text), &era) || era <= f->era)
+		return;
+	if (f->era)
+		f->events->store_returned(f->ctx, era);
+	f->era = era;
+}
+
 static bool read_body(struct kv_follow *f, struct str body,
 		      struct kv_answer *answer)
 {
@@ -428,6 +456,7 @@
 
 	(void)not_sent;
 	f->sent_at_us = a->sent_at_us;
+	note_era(f, a->call);
 	remove_call(a);
 	/* A repeat of the call may still be answered. */
 	if (err->code && f->pending_calls.head)
--- a/packages/transport/src/ready.c
+++ b/packages/transport/src/ready.c
@@ -150,6 +150,19 @@
 		w->on_disconnect(w->ctx);
 }
 
+/* Adds a header to the answer; name and value are copied. */
+void ready_add_header(struct ready_request *w, const char *name,
+		      const char *value)
+{
+	h2o_mem_pool_t *pool = &w->req->pool;
+	h2o_iovec_t name_copy = h2o_strdup(pool, name, SIZE_MAX);
+	h2o_iovec_t value_copy = h2o_strdup(pool, value, SIZE_MAX);
+
+	h2o_add_header_by_str(pool, &w->req->res.headers, name_copy.base,
+			      name_copy.len, 0, name, value_copy.base,
+			      value_copy.len);
+}
+
 void ready_answer(struct ready_request *w, int status, struct str body)
 {
 	h2o_req_t *req = w->req;
--- a/packages/transport/tests/support_kv.c
+++ b/packages/transport/tests/support_kv.c
@@ -376,6 +376,23 @@
 	p->n_malformed++;
 }
 
+static void on_store_returned(void *ctx, uint64_t era)
+{
+	struct proxy *p = ctx;
+
+	p->era = era;
+}
+
+static void on_left_aside(void *ctx, const char *key, uint64_t revision,
+			  uint64_t known)
+{
+	struct proxy *p = ctx;
+
+	(void)key;
+	ck_assert_uint_lt(revision, known);
+	p->n_left_aside++;
+}
+
 static void on_known(void *ctx, uint64_t known_at_us)
 {
 	struct proxy *p = ctx;
@@ -412,6 +429,8 @@
 	.source = on_source,
 	.store_call_ended = on_heard,
 	.fed = on_fed,
+	.store_returned = on_store_returned,
+	.left_aside = on_left_aside,
 	.refused = on_refused,
 	.missing = on_missing,
 	.known = on_known,
--- a/packages/transport/tests/support_kv.h
+++ b/packages/transport/tests/support_kv.h
@@ -52,6 +52,8 @@
 	unsigned n_settled, n_store_results, n_store_failed, n_feed_answered,
 		n_feed_failed, n_missing;
 	unsigned n_malformed;
+	unsigned n_left_aside;
+	uint64_t era; /* of the store's last return, 0: there was none */
 	uint64_t age_us;
 	uint64_t known_at_us;
 };
--- a/packages/transport/tests/test_http.c
+++ b/packages/transport/tests/test_http.c
@@ -28,7 +28,10 @@
 	struct http *http;
 	struct server_connection *server_connection;
 	unsigned stops_after; /* parts that the server sends */
+	struct http_call *call;
 	bool done;
+	char *era; /* the response's header of that name */
+	char *other; /* of a name that it doesn't have */
 	enum err_code code; /* of done() */
 	size_t len; /* of the body */
 } rig;
@@ -67,14 +70,15 @@
 
 static void on_request(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
 {
-	char head[64];
+	char head[128];
 
 	(void)stream;
 	(void)buf;
 	if (n <= 0 || rig.server_connection->n_written)
 		return;
 	g_snprintf(head, sizeof(head),
-		   "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n",
+		   "HTTP/1.1 200 OK\r\nEra: 7\r\n"
+		   "Content-Length: %zu\r\n\r\n",
 		   PARTS * strlen(PART));
 	write_text(head);
 	uv_timer_start(&rig.server_connection->timer, on_part, PART_MS,
@@ -103,6 +107,8 @@
 	rig.done = true;
 	rig.code = err->code;
 	rig.len = body.len;
+	rig.era = g_strdup(http_response_header(rig.call, "era"));
+	rig.other = g_strdup(http_response_header(rig.call, "other"));
 }
 
 static bool is_done(void *ctx)
@@ -142,7 +148,7 @@
 	rig.http = http_create(&rig.loop, &err);
 	ck_assert(rig.http != NULL);
 	request.url = url;
-	http_start(rig.http, &request, &events, NULL);
+	rig.call = http_start(rig.http, &request, &events, NULL);
 	loop_until(&rig.loop, is_done, NULL);
 	http_destroy(rig.http);
 	uv_close((uv_handle_t *)&rig.server_connection->timer, NULL);
@@ -164,6 +170,17 @@
 	call(PARTS);
 	ck_assert_int_eq(rig.code, 0);
 	ck_assert_uint_eq(rig.len, PARTS * strlen(PART));
+	g_free(rig.era);
+}
+END_TEST
+
+/* Its headers are known when the call is done, those it lacks are NULL. */
+START_TEST(headers_of_the_answer)
+{
+	call(PARTS);
+	ck_assert_str_eq(rig.era, "7");
+	ck_assert_ptr_null(rig.other);
+	g_free(rig.era);
 }
 END_TEST
 
@@ -172,6 +189,7 @@
 {
 	call(3);
 	ck_assert_int_eq(rig.code, ERR_STORE_DOWN);
+	g_free(rig.era);
 }
 END_TEST
 
@@ -180,6 +198,7 @@
 {
 	call(0);
 	ck_assert_int_eq(rig.code, ERR_STORE_DOWN);
+	g_free(rig.era);
 }
 END_TEST
 
@@ -188,6 +207,7 @@
 	TCase *tc = tcase_create("http");
 
 	tcase_add_test(tc, an_answer_that_goes_on_is_not_silent);
+	tcase_add_test(tc, headers_of_the_answer);
 	tcase_add_test(tc, an_answer_that_stops_is_silent);
 	tcase_add_test(tc, an_answer_that_never_begins_is_silent);
 	return suite_main("http", tc);
