--- a/packages/transport/tests/support_kv.c
+++ b/packages/transport/tests/support_kv.c
@@ -19,13 +19,55 @@
 	g_free(r);
 }
 
-void kv_rig_put(const char *key, const char *value)
+static struct kv_rig_state state_create(uint64_t revision)
+{
+	GHashTable *rows = g_hash_table_new_full(g_str_hash, g_str_equal,
+						 g_free, row_free);
+
+	return (struct kv_rig_state){ rows, revision };
+}
+
+static void put_row(struct kv_rig_state *state, const char *key,
+		    uint64_t revision, const char *value)
 {
 	struct row *r = g_new0(struct row, 1);
 
-	r->revision = ++rig.revision;
+	r->revision = revision;
 	r->value = g_strdup(value);
-	g_hash_table_replace(rig.rows, g_strdup(key), r);
+	g_hash_table_replace(state->rows, g_strdup(key), r);
+}
+
+void kv_rig_put(const char *key, const char *value)
+{
+	put_row(&rig.state, key, ++rig.state.revision, value);
+}
+
+static struct kv_rig_state copy_state(const struct kv_rig_state *from)
+{
+	struct kv_rig_state copy = state_create(from->revision);
+	GHashTableIter iter;
+	gpointer key, value;
+
+	g_hash_table_iter_init(&iter, from->rows);
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		const struct row *r = value;
+
+		put_row(&copy, key, r->revision, r->value);
+	}
+	return copy;
+}
+
+void kv_rig_copy(void)
+{
+	g_clear_pointer(&rig.copy.rows, g_hash_table_destroy);
+	rig.copy = copy_state(&rig.state);
+}
+
+void kv_rig_restore(void)
+{
+	g_hash_table_destroy(rig.state.rows);
+	rig.state = copy_state(&rig.copy);
+	rig.era++;
 }
 
 /*
@@ -126,6 +168,7 @@
 	.feed_watch_url = feed_watch_url,
 	.read = read_lines,
 	.write = write_lines,
+	.era_header = "Store-Era",
 	.history_gone_status = 410,
 	.not_found = 404,
 	.expiring_prefix = "servers/",
@@ -145,12 +188,21 @@
 	g_free(l);
 }
 
+static void answer_call(struct ready_request *wait, int status, struct str body)
+{
+	char *era = g_strdup_printf("%" G_GUINT64_FORMAT, rig.era);
+
+	ready_add_header(wait, "Store-Era", era);
+	ready_answer(wait, status, body);
+	g_free(era);
+}
+
 static void on_late(uv_timer_t *timer)
 {
 	struct late *l = timer->data;
 
 	ready_on_disconnect(l->wait, NULL, NULL);
-	ready_answer(l->wait, 200, str_from_c(l->answer));
+	answer_call(l->wait, 200, str_from_c(l->answer));
 	uv_close((uv_handle_t *)timer, on_late_closed);
 }
 
@@ -186,8 +238,8 @@
 	g_string_append_printf(out,
 			       "%" G_GUINT64_FORMAT " 0 0 0 %" G_GINT64_FORMAT
 			       " %d\n",
-			       rig.revision, INT64_MIN, more);
-	g_hash_table_iter_init(&iter, rig.rows);
+			       rig.state.revision, INT64_MIN, more);
+	g_hash_table_iter_init(&iter, rig.state.rows);
 	while (g_hash_table_iter_next(&iter, &key, &value)) {
 		const struct row *r = value;
 
@@ -242,7 +294,12 @@
 	if (rig.store_down || p->store == KV_RIG_REFUSES ||
 	    (!after && rig.fail_ranges)) {
 		rig.fail_ranges -= !rig.store_down && rig.fail_ranges;
-		ready_answer(wait, 503, STR(""));
+		answer_call(wait, 503, STR(""));
+		g_free(text);
+		return;
+	}
+	if (after > rig.state.revision) {
+		answer_call(wait, 410, STR(""));
 		g_free(text);
 		return;
 	}
@@ -254,7 +311,7 @@
 	if (p->store == KV_RIG_LATE)
 		answer_late(wait, out->str);
 	else
-		ready_answer(wait, 200, str_from_gstring(out));
+		answer_call(wait, 200, str_from_gstring(out));
 	g_string_free(out, TRUE);
 }
 
@@ -507,8 +564,8 @@
 
 	memset(&rig, 0, sizeof(rig));
 	uv_loop_init(&rig.loop);
-	rig.rows = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					 row_free);
+	rig.state = state_create(0);
+	rig.era = 1;
 	rig.http = http_create(&rig.loop, &err);
 	rig.port = listen_on(NULL, pages, G_N_ELEMENTS(pages), &rig.url);
 	kv_rig_put("op/config", "one");
@@ -585,7 +642,8 @@
 	end_proxy(&rig.watcher);
 	ready_destroy(rig.port);
 	loop_end(&rig.loop);
-	g_hash_table_destroy(rig.rows);
+	g_hash_table_destroy(rig.state.rows);
+	g_clear_pointer(&rig.copy.rows, g_hash_table_destroy);
 	g_free(rig.url);
 }
 
--- a/packages/transport/tests/support_kv.h
+++ b/packages/transport/tests/support_kv.h
@@ -17,6 +17,12 @@
 	char *value; /* NULL: deleted */
 };
 
+/* What the store holds, or a copy of it. */
+struct kv_rig_state {
+	GHashTable *rows; /* key -> struct row */
+	uint64_t revision;
+};
+
 /* How the store treats a proxy's calls. */
 enum kv_rig_mode {
 	KV_RIG_ANSWERS,
@@ -63,8 +69,9 @@
 	struct http *http;
 	struct ready *port;
 	char *url;
-	GHashTable *rows; /* key -> struct row */
-	uint64_t revision;
+	struct kv_rig_state state;
+	struct kv_rig_state copy; /* rows NULL: none */
+	uint64_t era;
 	unsigned calls;
 	/* number of ranges that are still to be refused */
 	unsigned fail_ranges;
@@ -100,6 +107,10 @@
 void kv_rig_end(void);
 /* Writes a key of the store; value NULL: deletes it. */
 void kv_rig_put(const char *key, const char *value);
+/* Makes a copy of the store. */
+void kv_rig_copy(void);
+/* The store comes back from that copy, in its next era. */
+void kv_rig_restore(void);
 /*
  * Runs the loop until the follower has this value; NULL: until the key is
  * absent.
