Order what the store says by its era, then by its revision

Callers were served by a configuration that had been replaced 4 s before. The store had come back from an older copy and gave its revisions out again; the follower of the store took a key only under a revision above the one it knew, so it ignored what the operators wrote next, without a word.

The class: every place took a revision for a clock that never runs back. The table of keys, the cursor of a watch, the feed to other proxies, the condition of a claim and the fencing token all compared bare revisions. Instead of a case for each, a revision becomes a stamp where the store's answer is read: the era in the upper bits, the revision in the lower ones. Stamps never run back, so what compares them holds again, tokens included; only calls to the store get bare revisions. Without eras nothing changes.

--- a/packages/transport/include/celeryquay/transport/http_json.h
+++ b/packages/transport/include/celeryquay/transport/http_json.h
@@ -15,9 +15,10 @@
  * connection, libcurl sends the request again, and the second request would
  * find the effects of the first.
  */
-void http_json_post_once(struct http *h, const char *url,
-			 const char *const *headers, const char *body,
-			 uint64_t timeout_us, const struct http_events *events,
-			 void *ctx);
+struct http_call *http_json_post_once(struct http *h, const char *url,
+				      const char *const *headers,
+				      const char *body, uint64_t timeout_us,
+				      const struct http_events *events,
+				      void *ctx);
 
 #endif
--- a/packages/transport/include/celeryquay/transport/kv_follow.h
+++ b/packages/transport/include/celeryquay/transport/kv_follow.h
@@ -8,10 +8,11 @@
  */
 
 #include <celeryquay/transport/http.h>
+#include <celeryquay/transport/kv_stamp.h>
 
 struct kv_item {
 	const char *key;
-	uint64_t revision;
+	uint64_t revision; /* a stamp, as all revisions here */
 	bool deleted;
 	struct str value; /* data NULL: none, or left out by the sender */
 	/* compressed, written instead of value if data is not NULL */
@@ -35,12 +36,18 @@
 };
 
 typedef void (*kv_item_fn)(void *ctx, const struct kv_item *item);
+/* Called before the items; false: they are not wanted. */
+typedef bool (*kv_begin_fn)(void *ctx, const struct kv_answer *answer);
 
 struct kv_codec {
 	/* The page of the range after this key; NULL: the first page. */
 	char *(*range_url)(const char *base, const char *page);
-	/* A long poll, answered when there is a change after revision `at`. */
-	char *(*watch_url)(const char *base, uint64_t at, unsigned wait_ms);
+	/*
+	 * A long poll, answered when there is a change after this revision of
+	 * the store, which is no stamp.
+	 */
+	char *(*watch_url)(const char *base, uint64_t revision,
+			   unsigned wait_ms);
 	/* Reads one key. read() parses the answer, which has no `at`. */
 	char *(*key_url)(const char *base, const char *key);
 	/*
@@ -50,9 +57,13 @@
 	char *(*feed_range_url)(const char *base, uint64_t since);
 	char *(*feed_watch_url)(const char *base, uint64_t cursor,
 				unsigned wait_ms);
-	/* Parses an answer and calls `take` for each item; false: malformed. */
-	bool (*read)(struct str body, struct kv_answer *answer, kv_item_fn take,
-		     void *ctx);
+	/*
+	 * Parses an answer and calls `take` for each item; begin and take may
+	 * be NULL. era: the store's; 0: it has none, or the answer is another
+	 * proxy's, which holds stamps. False: malformed.
+	 */
+	bool (*read)(struct str body, uint64_t era, struct kv_answer *answer,
+		     kv_begin_fn begin, kv_item_fn take, void *ctx);
 	/*
 	 * Compresses a value. If this is NULL or returns NULL, the value is
 	 * sent uncompressed.
@@ -118,9 +129,15 @@
 	void (*store_call_ended)(void *ctx, bool answers, uint64_t took_us);
 	/*
 	 * The store came back from an older copy: what was written since that
-	 * copy is gone, and its revisions are given out again.
+	 * copy is gone, and its revisions are given out again. Everything is
+	 * read again.
 	 */
 	void (*store_returned)(void *ctx, uint64_t era);
+	/*
+	 * The copy lacks the key. gone() follows unless it is written again
+	 * soon.
+	 */
+	void (*forgotten)(void *ctx, const char *key);
 	/* An item of a key was ignored, because a newer one is known. */
 	void (*left_aside)(void *ctx, const char *key, uint64_t revision,
 			   uint64_t known);
@@ -152,7 +169,14 @@
 				   const struct kv_events *events, void *ctx);
 /* Call it after http_destroy(), which ends the calls in flight. */
 void kv_follow_destroy(struct kv_follow *f);
-/* Parses the answer to a call made elsewhere and reports its items. */
+/* The era of the store, as far as it is known. */
+uint64_t kv_follow_era(const struct kv_follow *f);
+/*
+ * To be called with the era of the answer to a call made elsewhere. False: what
+ * has been read so far is of another era, so the answer can't be used.
+ */
+bool kv_follow_check_era(struct kv_follow *f, uint64_t era);
+/* Parses the answer to such a call and reports its items. */
 bool kv_follow_read(struct kv_follow *f, struct str body,
 		    struct kv_answer *answer);
 /* The last revision taken of a key; 0: none. */
--- a/packages/transport/include/celeryquay/transport/kv_table.h
+++ b/packages/transport/include/celeryquay/transport/kv_table.h
@@ -28,11 +28,12 @@
 /* Call put or confirm for each item of the range between begin and end. */
 void kv_table_range_begin(struct kv_table *t);
 /*
- * Adds the deleted keys to `gone`. at: the store's revision when the range
- * began.
+ * Adds the deleted keys to `gone`, and those whose deletion is held back to
+ * `held`. at: the store's revision when the range began.
  */
-void kv_table_range_end(struct kv_table *t, const char *prefix, uint64_t at,
-			const char *expiring_prefix, GPtrArray *gone);
+void kv_table_range_end(struct kv_table *t, uint64_t at,
+			const char *held_prefix, GPtrArray *gone,
+			GPtrArray *held);
 /* Stops holding deletions back: adds the keys that have not reappeared. */
 void kv_table_release_held(struct kv_table *t, GPtrArray *gone);
 /* The last revision taken of a key; 0: none. */
--- a/packages/transport/src/http_json.c
+++ b/packages/transport/src/http_json.c
@@ -37,10 +37,11 @@
 }
 
 /* done() is called once, from the loop, unless h is destroyed before. */
-void http_json_post_once(struct http *h, const char *url,
-			 const char *const *headers, const char *body,
-			 uint64_t timeout_us, const struct http_events *events,
-			 void *ctx)
+struct http_call *http_json_post_once(struct http *h, const char *url,
+				      const char *const *headers,
+				      const char *body, uint64_t timeout_us,
+				      const struct http_events *events,
+				      void *ctx)
 {
 	struct http_request request = {
 		.url = url,
@@ -51,5 +52,5 @@
 		.new_connection = true,
 	};
 
-	http_start(h, &request, events, ctx);
+	return http_start(h, &request, events, ctx);
 }
--- a/packages/transport/src/kv_feed.c
+++ b/packages/transport/src/kv_feed.c
@@ -43,6 +43,8 @@
  */
 #define EPOCH_SHIFT 32
 #define COUNT_MASK ((UINT64_C(1) << EPOCH_SHIFT) - 1)
+/* Between the epochs of one process; keeps them odd. */
+#define EPOCH_STEP (UINT64_C(2) << EPOCH_SHIFT)
 
 struct entry {
 	uint64_t revision;
@@ -315,6 +317,15 @@
 	g_array_free(items, TRUE);
 }
 
+/* Whether the cursor is of this process and all changes after it are kept. */
+static bool has_changes_after(const struct kv_feed *f, uint64_t after)
+{
+	uint64_t n = after & COUNT_MASK;
+
+	return (after & ~COUNT_MASK) == f->epoch && n >= f->oldest_change &&
+	       n <= f->oldest_change + f->changes->len;
+}
+
 static void on_closed(uv_handle_t *timer)
 {
 	g_free(timer->data);
@@ -339,6 +350,8 @@
 		ready_answer(wait, HTTP_UNAVAILABLE, STR(""));
 	else if (reads_all)
 		answer_since(f, wait, after);
+	else if (!has_changes_after(f, after))
+		ready_answer(wait, HTTP_GONE, STR(""));
 	else
 		answer_changes(f, wait, received_at_us, after);
 }
@@ -406,14 +419,28 @@
 	f->known_at_us = MAX(f->known_at_us, known_at_us);
 }
 
+/*
+ * Begins the kept changes anew at this revision. In a new era every follower
+ * has to read everything: one that knew more than this proxy did would not hear
+ * of what the store has lost.
+ */
+static void begin_log(struct kv_feed *f, uint64_t at)
+{
+	g_ptr_array_set_size(f->changes, 0);
+	f->oldest_change = 0;
+	f->epoch += EPOCH_STEP;
+	f->log_start = at;
+}
+
 /*
  * The changes reported so far form one consistent state at this revision of the
  * store; waiting followers receive them.
  */
 void kv_feed_commit(struct kv_feed *f, uint64_t at)
 {
-	if (!f->has_everything)
-		f->log_start = at;
+	if (!f->has_everything ||
+	    kv_stamp_era(at) > kv_stamp_era(f->store_revision))
+		begin_log(f, at);
 	f->has_everything = true;
 	f->store_revision = MAX(f->store_revision, at);
 	answer_waiters(f, false);
@@ -436,15 +463,6 @@
 	return found;
 }
 
-/* Whether the cursor is of this process and all changes after it are kept. */
-static bool has_changes_after(const struct kv_feed *f, uint64_t after)
-{
-	uint64_t n = after & COUNT_MASK;
-
-	return (after & ~COUNT_MASK) == f->epoch && n >= f->oldest_change &&
-	       n <= f->oldest_change + f->changes->len;
-}
-
 /*
  * If this proxy has just started too, the request waits until everything has
  * been read here.
--- a/packages/transport/src/kv_follow.c
+++ b/packages/transport/src/kv_follow.c
@@ -53,7 +53,7 @@
 	struct kv_source source;
 	uint64_t cursor; /* where the next watch starts; 0: a range is due */
 	uint64_t known_revision; /* everything up to this revision is known */
-	uint64_t era; /* of the store; 0: unknown */
+	uint64_t era; /* the newest seen, of the store or of another proxy */
 	uint64_t range_revision; /* revision of the store at the first page */
 	uint64_t range_cursor;
 	uint64_t range_sent_at_us; /* when the first page was requested */
@@ -69,6 +69,10 @@
 	bool partial;
 	bool store_failing;
 	bool holds_deletions;
+	/* Deletions of any key are held back, see begin_era(). */
+	bool store_returned;
+	/* The answer is not of the era that is being read. */
+	bool answer_discarded;
 };
 
 static void next_call(struct kv_follow *f);
@@ -90,7 +94,7 @@
 
 	if (f->store_failing)
 		return;
-	f->holds_deletions = false;
+	f->holds_deletions = f->store_returned = false;
 	gone = g_ptr_array_new_with_free_func(g_free);
 	kv_table_release_held(f->table, gone);
 	report_deleted(f, gone);
@@ -117,6 +121,41 @@
 	f->events->store_call_ended(f->ctx, works, f->cursor ? 0 : took_us);
 }
 
+/* Makes the next call read a range from its first page. */
+static void restart_range(struct kv_follow *f)
+{
+	f->cursor = 0;
+	g_clear_pointer(&f->page, g_free);
+}
+
+/* The call in flight, or the one just answered, begins a range. */
+static bool reads_first_page(const struct kv_follow *f)
+{
+	return !f->cursor && !f->page && !f->reads_key;
+}
+
+/*
+ * If the store came back from an older copy, true, and everything is read
+ * again: what was written since that copy is gone. Its writers write it again
+ * soon, so deletions of all keys are held back meanwhile.
+ */
+static bool begin_era(struct kv_follow *f, uint64_t era)
+{
+	bool is_first = !f->known_revision && !f->page;
+
+	f->era = era;
+	if (is_first)
+		return false;
+	restart_range(f);
+	f->value_missing = f->value_omitted = false;
+	g_clear_pointer(&f->missing_key, g_free);
+	g_clear_pointer(&f->previous_feed, g_free);
+	f->holds_deletions = f->store_returned = true;
+	uv_timer_start(&f->release, on_release, DELETION_HOLD_MS, 0);
+	f->events->store_returned(f->ctx, era);
+	return true;
+}
+
 static void on_retry(uv_timer_t *timer)
 {
 	next_call(timer->data);
@@ -217,15 +256,38 @@
 	}
 }
 
-/* Items are reported while the answer is parsed. */
-bool kv_follow_read(struct kv_follow *f, struct str body,
-		    struct kv_answer *answer)
+/*
+ * Whether the items of another proxy's answer count. That proxy may have heard
+ * of the store's return sooner than this one, or later.
+ */
+static bool begin_feed_answer(void *ctx, const struct kv_answer *answer)
+{
+	struct kv_follow *f = ctx;
+	uint64_t era = kv_stamp_era(answer->at);
+	bool is_whole = reads_first_page(f) && !answer->partial;
+
+	if (era < f->era || (era > f->era && begin_era(f, era) && !is_whole))
+		f->answer_discarded = true;
+	return !f->answer_discarded;
+}
+
+static bool read_answer(struct kv_follow *f, struct str body, kv_begin_fn begin,
+			struct kv_answer *answer)
 {
 	*answer = (struct kv_answer){ .known_us = INT64_MIN };
+	f->answer_discarded = false;
 	g_clear_pointer(&f->last_key, g_free);
 	if (!f->value_missing)
 		g_clear_pointer(&f->missing_key, g_free);
-	return f->codec->read(body, answer, take_item, f);
+	return f->codec->read(body, begin ? 0 : f->era, answer, begin,
+			      take_item, f);
+}
+
+/* Items are reported while the answer is parsed. */
+bool kv_follow_read(struct kv_follow *f, struct str body,
+		    struct kv_answer *answer)
+{
+	return read_answer(f, body, NULL, answer);
 }
 
 /*
@@ -251,18 +313,35 @@
 		f->events->known(f->ctx, (uint64_t)known_at_us);
 }
 
+/* Deletions under this prefix are held back; NULL: none are. */
+static const char *held_prefix(const struct kv_follow *f)
+{
+	if (f->store_returned)
+		return "";
+	return f->holds_deletions ? f->codec->expiring_prefix : NULL;
+}
+
+static void report_forgotten(struct kv_follow *f, GPtrArray *held)
+{
+	unsigned i;
+
+	for (i = 0; f->store_returned && i < held->len; i++)
+		f->events->forgotten(f->ctx, g_ptr_array_index(held, i));
+	g_ptr_array_unref(held);
+}
+
 static void end_range(struct kv_follow *f)
 {
 	GPtrArray *gone = g_ptr_array_new_with_free_func(g_free);
+	GPtrArray *held = g_ptr_array_new_with_free_func(g_free);
 
 	if (!f->partial)
-		kv_table_range_end(
-			f->table, "", f->range_revision,
-			f->holds_deletions ? f->codec->expiring_prefix : NULL,
-			gone);
+		kv_table_range_end(f->table, f->range_revision, held_prefix(f),
+				   gone, held);
 	f->value_missing = f->value_missing && f->feed;
 	f->known_revision = MAX(f->known_revision, f->range_revision);
 	report_deleted(f, gone);
+	report_forgotten(f, held);
 	f->cursor = f->range_cursor;
 	f->events->settled(f->ctx, f->known_revision);
 }
@@ -302,19 +381,11 @@
 	report_known(f, answer, f->range_sent_at_us);
 }
 
-/* Makes the next call read a range from its first page. */
-static void restart_range(struct kv_follow *f)
-{
-	f->cursor = 0;
-	g_clear_pointer(&f->page, g_free);
-}
-
 /* The store no longer has the history after the cursor. */
 static void reset_watch(struct kv_follow *f)
 {
-	LOG_INFO("the watch from %" G_GUINT64_FORMAT
-		 " is not possible in era %" G_GUINT64_FORMAT,
-		 f->cursor, f->era);
+	LOG_INFO("the watch from %" G_GUINT64_FORMAT " is too old",
+		 kv_stamp_revision(f->cursor));
 	if (!f->feed)
 		report_store_result(f, true, 0);
 	f->retry_delay_ms = 0;
@@ -423,27 +494,87 @@
 	uv_timer_start(&f->retry, on_retry, FEED_BATCH_DELAY_MS, 0);
 }
 
-/* Reports a return of the store. Only its own answers carry an era. */
-static void note_era(struct kv_follow *f, const struct http_call *call)
+/* Only the store's own answers carry an era. False: malformed. */
+static bool read_era(const struct kv_follow *f, const struct http_call *call,
+		     uint64_t *era)
 {
 	const char *text = NULL;
-	uint64_t era;
 
 	if (!f->feed && f->codec->era_header)
 		text = http_response_header(call, f->codec->era_header);
-	if (!text || !str_to_u64(str_from_c(text), &era) || era <= f->era)
-		return;
-	if (f->era)
-		f->events->store_returned(f->ctx, era);
-	f->era = era;
+	return kv_stamp_parse_era(text, era);
 }
 
 static bool read_body(struct kv_follow *f, struct str body,
 		      struct kv_answer *answer)
 {
-	if (!f->cursor && !f->page && !f->reads_key)
+	if (reads_first_page(f))
 		kv_table_range_begin(f->table);
-	return kv_follow_read(f, body, answer);
+	return read_answer(f, body, f->feed ? begin_feed_answer : NULL, answer);
+}
+
+static void on_body(struct kv_follow *f, struct str body, uint64_t took_us)
+{
+	struct kv_answer answer;
+
+	if (!read_body(f, body, &answer)) {
+		f->events->refused(f->ctx, HTTP_OK, body.len);
+		on_failed(f);
+	} else if (!f->answer_discarded) {
+		take_answer(f, &answer, took_us);
+	} else if (kv_stamp_era(answer.at) < f->era) {
+		LOG_INFO("%s does not know of era %" G_GUINT64_FORMAT " yet",
+			 f->feed, f->era);
+		on_failed(f);
+	} else {
+		next_call(f);
+	}
+}
+
+/* Handles a complete answer of the store, or of another proxy. */
+static void on_status(struct kv_follow *f, long status, struct str body,
+		      uint64_t took_us)
+{
+	struct kv_answer answer = { 0 };
+
+	if (status == HTTP_OK) {
+		on_body(f, body, took_us);
+	} else if (status == f->codec->history_gone_status && f->cursor) {
+		reset_watch(f);
+		retry_later(f);
+	} else if (status == f->codec->not_found && f->reads_key) {
+		take_answer(f, &answer, took_us);
+	} else {
+		LOG_DBG("status %ld", status);
+		on_failed(f);
+	}
+}
+
+/* The store answers, but not with a page of its new era. */
+static bool is_answer_outdated(const struct kv_follow *f, long status)
+{
+	return status == f->codec->history_gone_status ||
+	       status == f->codec->not_found ||
+	       (status == HTTP_OK && !reads_first_page(f));
+}
+
+/*
+ * Whether the store's answer, which has this era, is to be handled. An answer
+ * of an earlier era has arrived late.
+ */
+static bool check_answer_era(struct kv_follow *f, uint64_t era, long status)
+{
+	bool is_outdated = is_answer_outdated(f, status);
+
+	if (era < f->era) {
+		on_failed(f);
+		return false;
+	}
+	if (era == f->era || !begin_era(f, era) || !is_outdated)
+		return true;
+	report_store_result(f, true, 0);
+	next_call(f);
+	return false;
 }
 
 static void on_done(void *ctx, const struct err *err, bool not_sent,
@@ -452,36 +583,25 @@
 	struct pending_call *a = ctx;
 	struct kv_follow *f = a->follow;
 	uint64_t took_us = (uv_hrtime() - a->sent_at_ns) / NSEC_PER_USEC;
-	struct kv_answer answer;
+	uint64_t era;
+	bool has_era = read_era(f, a->call, &era);
 
 	(void)not_sent;
 	f->sent_at_us = a->sent_at_us;
-	note_era(f, a->call);
 	remove_call(a);
 	/* A repeat of the call may still be answered. */
 	if (err->code && f->pending_calls.head)
 		return;
 	cancel_calls(f);
-	if (!err->code && status == HTTP_OK) {
-		if (read_body(f, body, &answer)) {
-			take_answer(f, &answer, took_us);
-			return;
-		}
+	if (err->code) {
+		LOG_DBG("%s", err->message);
+		on_failed(f);
+	} else if (!has_era) {
 		f->events->refused(f->ctx, status, body.len);
+		on_failed(f);
+	} else if (f->feed || check_answer_era(f, era, status)) {
+		on_status(f, status, body, took_us);
 	}
-	if (!err->code && status == f->codec->history_gone_status &&
-	    f->cursor) {
-		reset_watch(f);
-		retry_later(f);
-		return;
-	}
-	if (!err->code && status == f->codec->not_found && f->reads_key) {
-		answer = (struct kv_answer){ 0 };
-		take_answer(f, &answer, took_us);
-		return;
-	}
-	LOG_DBG("status %ld: %s", status, err->message);
-	on_failed(f);
 }
 
 /*
@@ -500,7 +620,8 @@
 	restart_range(f);
 	if (base && !g_strcmp0(f->previous_feed, base))
 		f->cursor = f->previous_cursor;
-	if (!base && !f->value_missing)
+	if (!base && !f->value_missing &&
+	    kv_stamp_era(f->known_revision) == f->era)
 		f->cursor = f->known_revision;
 	if (base)
 		g_clear_pointer(&f->previous_feed, g_free);
@@ -540,7 +661,8 @@
 	if (f->reads_key)
 		return f->codec->key_url(f->base, f->missing_key);
 	if (f->cursor)
-		return f->codec->watch_url(f->base, f->cursor, source->wait_ms);
+		return f->codec->watch_url(
+			f->base, kv_stamp_revision(f->cursor), source->wait_ms);
 	return f->codec->range_url(f->base, f->page);
 }
 
@@ -604,6 +726,22 @@
 	return kv_table_revision(f->table, key);
 }
 
+/* The era of the store, as far as it is known. */
+uint64_t kv_follow_era(const struct kv_follow *f)
+{
+	return f->era;
+}
+
+/* What has been read so far is of another era unless this returns true. */
+bool kv_follow_check_era(struct kv_follow *f, uint64_t era)
+{
+	if (era > f->era && begin_era(f, era)) {
+		cancel_calls(f);
+		uv_timer_start(&f->retry, on_retry, 0, 0);
+	}
+	return era == f->era && era == kv_stamp_era(f->known_revision);
+}
+
 static void on_closed(uv_handle_t *handle)
 {
 	g_free(handle->data);
--- a/packages/transport/src/kv_table.c
+++ b/packages/transport/src/kv_table.c
@@ -87,12 +87,12 @@
 }
 
 /*
- * A key under the prefix that was not in the range was deleted, unless it was
- * written after the range began. Deletions under expiring_prefix (NULL: none)
- * are held back.
+ * A key that was not in the range was deleted, unless it was written after the
+ * range began. Deletions under held_prefix (NULL: none) are held back.
  */
-void kv_table_range_end(struct kv_table *t, const char *prefix, uint64_t at,
-			const char *expiring_prefix, GPtrArray *gone)
+void kv_table_range_end(struct kv_table *t, uint64_t at,
+			const char *held_prefix, GPtrArray *gone,
+			GPtrArray *held)
 {
 	GHashTableIter iter;
 	gpointer key, value;
@@ -101,11 +101,11 @@
 	while (g_hash_table_iter_next(&iter, &key, &value)) {
 		struct entry *e = value;
 
-		if (e->seen || e->revision > at ||
-		    !g_str_has_prefix(key, prefix))
+		if (e->seen || e->revision > at)
 			continue;
-		if (expiring_prefix && g_str_has_prefix(key, expiring_prefix)) {
+		if (held_prefix && g_str_has_prefix(key, held_prefix)) {
 			e->held = true;
+			g_ptr_array_add(held, g_strdup(key));
 			continue;
 		}
 		g_ptr_array_add(gone, g_strdup(key));
--- a/packages/transport/tests/support_kv.c
+++ b/packages/transport/tests/support_kv.c
@@ -81,10 +81,11 @@
 			       page ? "&page=2" : "");
 }
 
-static char *watch_url(const char *base, uint64_t at, unsigned wait_ms)
+static char *watch_url(const char *base, uint64_t revision, unsigned wait_ms)
 {
 	(void)wait_ms;
-	return g_strdup_printf("%s/store?after=%" G_GUINT64_FORMAT, base, at);
+	return g_strdup_printf("%s/store?after=%" G_GUINT64_FORMAT, base,
+			       revision);
 }
 
 static char *key_url(const char *base, const char *key)
@@ -103,8 +104,8 @@
 			       base, cursor, wait_ms);
 }
 
-static bool read_lines(struct str body, struct kv_answer *answer,
-		       kv_item_fn take, void *ctx)
+static bool read_lines(struct str body, uint64_t era, struct kv_answer *answer,
+		       kv_begin_fn begin, kv_item_fn take, void *ctx)
 {
 	char *text = str_dup(body);
 	char **lines = g_strsplit(text, "\n", -1);
@@ -116,13 +117,17 @@
 			 &answer->at, &answer->cursor, &answer->age_us,
 			 &partial, &answer->known_us, &more) >= 4;
 
+	answer->at = kv_stamp(era, answer->at);
 	answer->partial = partial;
 	answer->more = more;
+	if (ok && begin && !begin(ctx, answer))
+		goto out;
 	for (i = 1; ok && lines[i] && *lines[i]; i++) {
 		char **words = g_strsplit(lines[i], " ", 3);
 		struct kv_item item = {
 			.key = words[0],
-			.revision = g_ascii_strtoull(words[1], NULL, 10),
+			.revision = kv_stamp(era, g_ascii_strtoull(words[1],
+								   NULL, 10)),
 		};
 
 		item.deleted = words[2] && !strcmp(words[2], "-");
@@ -131,6 +136,7 @@
 		take(ctx, &item);
 		g_strfreev(words);
 	}
+out:
 	g_strfreev(lines);
 	g_free(text);
 	return ok;
@@ -313,6 +319,10 @@
 	else
 		answer_call(wait, 200, str_from_gstring(out));
 	g_string_free(out, TRUE);
+	if (rig.restore_after_page && is_first) {
+		rig.restore_after_page = false;
+		kv_rig_restore();
+	}
 }
 
 static void ask_store_by_watcher(void *ctx, struct str query,
@@ -359,6 +369,7 @@
 {
 	struct proxy *p = ctx;
 
+	p->n_gone++;
 	g_hash_table_remove(p->values, key);
 	if (p->feed != rig.stale_feed)
 		kv_feed_delete(p->feed, key, revision);
@@ -440,6 +451,14 @@
 	p->era = era;
 }
 
+static void on_forgotten(void *ctx, const char *key)
+{
+	struct proxy *p = ctx;
+
+	(void)key;
+	p->n_forgotten++;
+}
+
 static void on_left_aside(void *ctx, const char *key, uint64_t revision,
 			  uint64_t known)
 {
@@ -487,6 +506,7 @@
 	.store_call_ended = on_heard,
 	.fed = on_fed,
 	.store_returned = on_store_returned,
+	.forgotten = on_forgotten,
 	.left_aside = on_left_aside,
 	.refused = on_refused,
 	.missing = on_missing,
--- a/packages/transport/tests/support_kv.h
+++ b/packages/transport/tests/support_kv.h
@@ -58,7 +58,7 @@
 	unsigned n_settled, n_store_results, n_store_failed, n_feed_answered,
 		n_feed_failed, n_missing;
 	unsigned n_malformed;
-	unsigned n_left_aside;
+	unsigned n_left_aside, n_forgotten, n_gone;
 	uint64_t era; /* of the store's last return, 0: there was none */
 	uint64_t age_us;
 	uint64_t known_at_us;
@@ -76,6 +76,8 @@
 	/* number of ranges that are still to be refused */
 	unsigned fail_ranges;
 	bool store_down;
+	/* The store comes back from its copy after the next first page. */
+	bool restore_after_page;
 	/*
 	 * Proxies claim to know the store's state up to a time in the far
 	 * future.
--- a/packages/transport/tests/test_kv_feed.c
+++ b/packages/transport/tests/test_kv_feed.c
@@ -240,9 +240,11 @@
 	current = rig.watcher.feed;
 	rig.watcher.feed = rig.stale_feed =
 		kv_feed_create(&rig.loop, &kv_rig_codec);
-	kv_feed_set(rig.stale_feed, "op/config", 1, STR("one"));
-	kv_feed_set(rig.stale_feed, "servers/a", 2, STR("up"));
-	kv_feed_commit(rig.stale_feed, 3);
+	kv_feed_set(rig.stale_feed, "op/config", kv_stamp(rig.era, 1),
+		    STR("one"));
+	kv_feed_set(rig.stale_feed, "servers/a", kv_stamp(rig.era, 2),
+		    STR("up"));
+	kv_feed_commit(rig.stale_feed, kv_stamp(rig.era, 3));
 	rig.follower.source_url = rig.watcher.url;
 	loop_until(&rig.loop, fed_20_times, NULL);
 	kv_feed_destroy(current);
