relay: a claim of the duty that the store has forgotten

After the store came back from an older copy no proxy could replace a primary any more: where the copy lacks the duty record, its absence came with revision 0, was taken for old news, and each claim expected a record that is gone. Callers got no writes until somebody else wrote the record. Beside that, a proxy whose claim is gone with the return went on using it, and others could claim at once: two holders take turns, and the platform, which need not check tokens, may see the lower one last.

The class is that of the follower: what the store said before its return was compared with what it says after it. Absence of the record now always counts. On a return, and at a start in a later era than the first, a proxy drops its claim, makes none for as long as an earlier one may be in use (claim_hold_ms), and takes another's claim as just seen, so that confirmations of a primary need all servers until a forgotten promotion has taken effect or can't.

The fake platform of the relay's tests can copy its store and come back from the copy; each proxy learns of it at a time of its own.

--- a/packages/relay/include/celeryquay/relay/relay.h
+++ b/packages/relay/include/celeryquay/relay/relay.h
@@ -35,6 +35,11 @@
 	uint64_t started_at_ms;
 	/* Its entry became unreadable: it gets no new work. */
 	bool unusable;
+	/*
+	 * The store came back from a copy that lacks its entry, so other
+	 * proxies may not know of it until it is written again.
+	 */
+	bool forgotten;
 	/*
 	 * Of a proxy: the port at which other proxies can read the store's
 	 * contents from it, 0: none.
@@ -174,10 +179,11 @@
 /* Called with each answer of the store, and each call that got none. */
 void relay_on_store(struct relay *r, bool answers, uint64_t now_us);
 /*
- * The store came back from an older copy: writes that it had acknowledged may
- * be gone. It has a new era.
+ * The store's era was read. returned: it rose, because the store came back from
+ * an older copy and writes that it had acknowledged may be gone.
  */
-void relay_on_store_returned(struct relay *r, uint64_t era, uint64_t now_us);
+void relay_on_store_era(struct relay *r, uint64_t era, bool returned,
+			uint64_t now_us);
 /*
  * Another proxy passed on what the store said at heard_us; the store does not
  * answer that proxy now.
--- a/packages/relay/src/duty.c
+++ b/packages/relay/src/duty.c
@@ -5,11 +5,26 @@
  */
 #include "relay_internal.h"
 
+/*
+ * Failure: another proxy claimed the duty just before the store came back from
+ * a copy that lacks the claim. It still uses the claim, and this proxy makes
+ * one beside it: the platform gets the lower token last, or a server that the
+ * copy lacks is left out of a fence. Guard: no claim is made until any earlier
+ * one has expired, and until live servers have written their entries again.
+ */
+static bool may_claim_be_forgotten(const struct relay *r, uint64_t now_us)
+{
+	return r->store_returned_at_us &&
+	       now_us < r->store_returned_at_us + r->settings.claim_hold_us;
+}
+
 /*
  * Whether another proxy claimed the duty so recently that it may be using it.
  */
 bool rduty_is_held_elsewhere(const struct relay *r, uint64_t now_us)
 {
+	if (may_claim_be_forgotten(r, now_us))
+		return true;
 	if (!r->duty_holder || !strcmp(r->duty_holder, r->name))
 		return false;
 	return now_us < r->duty_changed_at_us + r->settings.claim_hold_us;
@@ -41,3 +56,18 @@
 	r->claim_sent_at_us = now_us;
 	r->ops->claim(r->ctx, r->duty_revision);
 }
+
+/*
+ * The store may have forgotten any claim. This proxy's own is not used any
+ * more, and another's counts as made just now: its promotion may take effect.
+ */
+void rduty_on_store_returned(struct relay *r, uint64_t now_us)
+{
+	if (!r->guards.expect_forgotten)
+		return;
+	r->token = 0;
+	r->store_returned_at_us = now_us;
+	r->duty_changed_at_us = now_us;
+	r->duty_others_seen_at_us = now_us;
+	r->duty_others_claimed_at_us = now_us;
+}
--- a/packages/relay/src/relay.c
+++ b/packages/relay/src/relay.c
@@ -13,6 +13,7 @@
 /* Budget of retries: the share that a statement adds, and the maximum. */
 #define RETRY_EARN 0.1
 #define RETRY_MAX 20
+#define FIRST_ERA 1 /* of a store that never came back from a copy */
 
 /* The design note on the relay gives the reasons for the defaults. */
 void relay_settings_default(struct relay_settings *s)
@@ -228,14 +229,17 @@
 	return r->claiming && !g_strcmp0(holder, r->name);
 }
 
-/* Applies the duty record unless a newer revision is known. */
+/*
+ * Applies the duty record unless a newer revision is known. The record may also
+ * be gone, if the store came back from a copy that lacks it.
+ */
 void relay_on_duty(struct relay *r, uint64_t revision, const char *holder,
 		   uint64_t now_us)
 {
 	bool is_first = !r->duty_known;
 
 	r->duty_known = true;
-	if (revision < r->duty_revision)
+	if (revision && revision < r->duty_revision)
 		return;
 	if (revision != r->duty_revision) {
 		r->duty_revision = revision;
@@ -270,12 +274,10 @@
 		r->store_heard_at_us = now_us;
 }
 
-/* The store came back from an older copy, in this era. */
-void relay_on_store_returned(struct relay *r, uint64_t era, uint64_t now_us)
+static void log_returned(const struct relay *r, uint64_t era, uint64_t now_us)
 {
 	struct log_line *l = log_event(LOG_STATE, "store-returned");
 
-	rmetrics_store_returned(r, era);
 	if (!l)
 		return;
 	log_u64(l, "era", era);
@@ -285,6 +287,21 @@
 	log_event_end(l);
 }
 
+/*
+ * The store's era; returned: the store just came back from an older copy. It
+ * may also have done so just before this proxy started, unless it is in its
+ * first era.
+ */
+void relay_on_store_era(struct relay *r, uint64_t era, bool returned,
+			uint64_t now_us)
+{
+	if (returned)
+		log_returned(r, era, now_us);
+	rmetrics_store_era(r, era, returned);
+	if (returned || era > FIRST_ERA)
+		rduty_on_store_returned(r, now_us);
+}
+
 /* Sets the age of what is known, but not whether the store answers. */
 void relay_on_store_heard_at(struct relay *r, uint64_t heard_us)
 {
--- a/packages/relay/src/relay_internal.h
+++ b/packages/relay/src/relay_internal.h
@@ -369,6 +369,8 @@
 	bool limit_accounts; /* each operation takes a token */
 	bool renew_lease_at_once; /* a statement renews an expired lease at once
 				   */
+	/* Claims and servers that a store has forgotten still count. */
+	bool expect_forgotten;
 };
 
 struct relay {
@@ -456,6 +458,8 @@
 	uint64_t duty_others_seen_at_us;
 	/* The same, not counting the record as first read; 0: never. */
 	uint64_t duty_others_claimed_at_us;
+	/* The store came back from an older copy at this time, 0: never. */
+	uint64_t store_returned_at_us;
 	bool claiming; /* a claim awaits its answer */
 	uint64_t claimed_at_us; /* start of the claim that gave `token` */
 	uint64_t claim_sent_at_us; /* start of the last claim */
@@ -720,6 +724,7 @@
 bool rduty_is_held_elsewhere(const struct relay *r, uint64_t now_us);
 bool rduty_is_claim_valid(const struct relay *r, uint64_t now_us);
 void rduty_claim(struct relay *r, uint64_t now_us);
+void rduty_on_store_returned(struct relay *r, uint64_t now_us);
 
 /* cleanup.c */
 void rcleanup_tick(struct rservice *v, uint64_t now_us);
@@ -768,7 +773,7 @@
 			uint64_t now_us);
 void rmetrics_waited(const struct relay *r, uint64_t us);
 void rmetrics_answered(const struct rserver *s, uint64_t us);
-void rmetrics_store_returned(struct relay *r, uint64_t era);
+void rmetrics_store_era(struct relay *r, uint64_t era, bool returned);
 void rmetrics_store_call(const struct relay *r, uint64_t us);
 void rmetrics_pause(const struct relay *r);
 void rmetrics_fence_repeated(const struct relay *r);
--- a/packages/relay/src/rmetrics.c
+++ b/packages/relay/src/rmetrics.c
@@ -85,7 +85,7 @@
 	m->servers_down = gauge(set, "celeryquay_relay_servers_down",
 				"of these, the ones that do not answer");
 	m->store_era = gauge(set, "celeryquay_relay_store_era",
-			     "the store's era since its last return");
+			     "the store's era, 0: it has none");
 	m->proxies = gauge(set, "celeryquay_relay_proxies",
 			   "other proxies that are listed");
 	m->without_primary = gauge(set,
@@ -131,10 +131,10 @@
 	g_free(m);
 }
 
-/* The store came back from an older copy. */
-void rmetrics_store_returned(struct relay *r, uint64_t era)
+/* The store's era was read; returned: it rose. */
+void rmetrics_store_era(struct relay *r, uint64_t era, bool returned)
 {
-	counter_add(r->metrics->store_returns, 1);
+	counter_add(r->metrics->store_returns, returned);
 	counter_set(r->metrics->store_era, (int64_t)era);
 }
 
--- a/packages/relay/tests/support_group.h
+++ b/packages/relay/tests/support_group.h
@@ -38,6 +38,12 @@
 	uint64_t list_revision; /* store revision of the newest list received */
 	unsigned life; /* process number; events for others are dropped */
 	uint64_t known; /* newest store revision that it was told */
+	bool had[MAX_SERVERS]; /* servers of the newest list received */
+	uint64_t era; /* of the store, as far as the relay knows */
+	uint64_t returned_at_us; /* when it learned of that era */
+	/* It learns of a return of the store this much later. */
+	uint64_t return_delay_us;
+	uint64_t return_due_us; /* when it learns of the last return */
 };
 
 struct fake_server {
@@ -49,6 +55,8 @@
 	bool dark; /* unresponsive: receives and sends nothing */
 	bool leaving; /* shuts down soon, as planned */
 	bool listed; /* in the list of servers */
+	bool forgotten; /* the copy that the store came back from lacks it */
+	bool without_store; /* it can't write its entry */
 	bool replaced; /* ended for good; a new id may have its log */
 	bool was_primary; /* of its term; kept after a step-down */
 	uint64_t started_at_ms; /* start time of its process, as listed */
@@ -103,6 +111,14 @@
 	bool lost; /* rolled back by a promotion */
 };
 
+/* What a copy of the store holds. */
+struct fake_copy {
+	uint64_t revision;
+	uint64_t duty_revision;
+	char duty_holder[8];
+	bool listed[MAX_SERVERS];
+};
+
 struct fake {
 	uint64_t now_us;
 	uint64_t n_events;
@@ -139,7 +155,13 @@
 	uint64_t last_token; /* newest token that a relay sent */
 	unsigned last_token_relay; /* index of the relay that sent it */
 	uint64_t platform_token; /* highest token that reached the platform */
-	uint64_t revision; /* store revision of lists and of the duty record */
+	/*
+	 * Store revision of lists and of the duty record. Like all revisions
+	 * here it has the store's era in the upper bits.
+	 */
+	uint64_t revision;
+	uint64_t era; /* of the store; rises when it returns from its copy */
+	struct fake_copy copy;
 	uint64_t duty_revision; /* revision of the duty record, 0: no claim */
 	char duty_holder[8]; /* name of the relay that claimed last */
 	bool accounts; /* callers have keys; see support_accounts.c */
@@ -206,6 +228,13 @@
 /* Its process ends, and another of the same name starts at once. */
 void fake_restart_relay(struct fake *f, unsigned relay);
 void fake_publish_lists(struct fake *f);
+/* Makes a copy of the store. */
+void fake_copy_store(struct fake *f);
+/*
+ * The store comes back from that copy. Servers write their entries again within
+ * two seconds, and relays learn of it.
+ */
+void fake_restore_store(struct fake *f);
 void fake_heal(struct fake *f);
 bool fake_log_has(const struct fake *f, const struct fake_server *s,
 		  unsigned commit);
--- a/packages/relay/tests/support_platform.c
+++ b/packages/relay/tests/support_platform.c
@@ -14,6 +14,11 @@
 #define CLAIM_TIMEOUT_US (400 * MS)
 #define DROP_US (3 * USEC_PER_SEC)
 #define QUICK_RESTART_US (20 * MS) /* downtime of a quick restart */
+#define ERA_SHIFT 32
+/* After a return of the store: until servers have written their entries. */
+#define RELIST_MAX_US (2 * USEC_PER_SEC)
+/* How long a relay keeps a server that the copy lacks. */
+#define FORGOTTEN_HOLD_US (2500 * MS)
 
 /* A relay's call to the store or the platform, or a reply to it. */
 struct call {
@@ -21,6 +26,8 @@
 	unsigned life; /* of the relay's process */
 	uint64_t number; /* a claim's expected revision, a promotion's token */
 	uint64_t revision; /* of the duty record */
+	uint64_t era; /* of the store, as the relay knew it */
+	bool other_era; /* a claim was carried out in another one */
 	enum relay_claim outcome; /* of a claim */
 	unsigned server; /* to promote */
 	bool accepted; /* promotion: carried out; claim: its reply arrives */
@@ -278,11 +285,174 @@
 		relay_on_revision(r->relay, r->known);
 }
 
+static void send_list(struct fake *f, struct fake_relay *r);
+
+/* The servers that this relay is told of now; their number. */
+static unsigned list_servers(const struct fake *f, const struct fake_relay *r,
+			     struct relay_server_info *infos)
+{
+	unsigned i, n = 0;
+
+	for (i = 0; i < f->n_servers; i++) {
+		const struct fake_server *s = &f->servers[i];
+		bool is_held = !s->listed && s->forgotten && r->had[i] &&
+			       f->now_us <
+				       r->returned_at_us + FORGOTTEN_HOLD_US;
+
+		if (!s->listed && !is_held)
+			continue;
+		infos[n++] = (struct relay_server_info){
+			.id = (char *)s->id,
+			.service = (char *)s->service,
+			.host = "10.0.0.1",
+			.port = 1,
+			.zone = "a",
+			.leaving = s->leaving,
+			.role = s->role,
+			.slots = FAKE_SLOTS,
+			.started_at_ms = s->started_at_ms,
+			.forgotten = is_held,
+		};
+	}
+	return n;
+}
+
+static void take_list(struct fake *f, struct fake_relay *r,
+		      const struct relay_server_info *infos, unsigned n)
+{
+	unsigned i, k;
+
+	for (i = 0; i < f->n_servers; i++) {
+		r->had[i] = false;
+		for (k = 0; k < n; k++)
+			r->had[i] |= !strcmp(infos[k].id, f->servers[i].id);
+	}
+	relay_on_servers(r->relay, infos, n, f->now_us);
+}
+
+static void hold_end_event(struct fake *f, void *data)
+{
+	send_list(f, data);
+}
+
+/* The relay learns of the store's return and reads everything again. */
+static void learn_return(struct fake *f, struct fake_relay *r)
+{
+	struct relay_server_info infos[MAX_SERVERS];
+	unsigned n;
+
+	r->era = f->era;
+	r->n_lists_in_flight = 0;
+	r->returned_at_us = f->now_us;
+	relay_on_store_era(r->relay, f->era, true, f->now_us);
+	relay_on_duty(r->relay, f->duty_revision,
+		      *f->duty_holder ? f->duty_holder : NULL, f->now_us);
+	r->list_dropped = r->drop_lists;
+	if (!r->drop_lists) {
+		n = list_servers(f, r, infos);
+		r->list_revision = f->revision;
+		take_list(f, r, infos, n);
+	}
+	send_revision(r, f->revision);
+	fake_at(f, (int)r->index, FORGOTTEN_HOLD_US, hold_end_event, r, NULL);
+}
+
+/* Whether what arrives is of an era that the relay has read. */
+static bool check_era(struct fake *f, struct fake_relay *r, uint64_t era)
+{
+	if (era > r->era && !r->deaf && f->now_us >= r->return_due_us)
+		learn_return(f, r);
+	return era <= r->era;
+}
+
+static void return_event(struct fake *f, void *data)
+{
+	check_era(f, data, f->era);
+}
+
+static void relist_event(struct fake *f, void *data)
+{
+	struct fake_server *s = data;
+
+	if (s->down || s->replaced || s->listed || s->without_store)
+		return;
+	s->listed = true;
+	s->forgotten = false;
+	fake_publish_lists(f);
+}
+
+static void lapse_event(struct fake *f, void *data)
+{
+	struct fake_server *s = data;
+
+	if (!s->down && !s->replaced)
+		return;
+	s->listed = false;
+	fake_publish_lists(f);
+}
+
+/* Makes a copy of the store. */
+void fake_copy_store(struct fake *f)
+{
+	unsigned i;
+
+	f->copy.revision = f->revision;
+	f->copy.duty_revision = f->duty_revision;
+	g_strlcpy(f->copy.duty_holder, f->duty_holder,
+		  sizeof(f->copy.duty_holder));
+	for (i = 0; i < MAX_SERVERS; i++)
+		f->copy.listed[i] = f->servers[i].listed;
+}
+
+static uint64_t in_era(const struct fake *f, uint64_t revision)
+{
+	return f->era << ERA_SHIFT | (uint32_t)revision;
+}
+
+static void restore_server(struct fake *f, struct fake_server *s)
+{
+	bool was_listed = s->listed;
+
+	s->listed = f->copy.listed[s->index];
+	s->forgotten = was_listed && !s->listed;
+	if (s->forgotten)
+		fake_at(f, -1, fake_random(f, 0, RELIST_MAX_US), relist_event,
+			s, NULL);
+	else if (s->listed && !was_listed)
+		fake_at(f, -1, UNLIST_DELAY_US, lapse_event, s, NULL);
+}
+
+/*
+ * The store comes back from its copy. Servers write their entries again within
+ * two seconds, and relays learn of it.
+ */
+void fake_restore_store(struct fake *f)
+{
+	unsigned i;
+
+	f->era++;
+	f->revision = in_era(f, f->copy.revision);
+	f->duty_revision =
+		f->copy.duty_revision ? in_era(f, f->copy.duty_revision) : 0;
+	g_strlcpy(f->duty_holder, f->copy.duty_holder, sizeof(f->duty_holder));
+	for (i = 0; i < f->n_servers; i++)
+		restore_server(f, &f->servers[i]);
+	for (i = 0; i < f->n_relays; i++) {
+		struct fake_relay *r = &f->relays[i];
+
+		r->return_due_us = f->now_us + fake_random(f, 2, 40) * MS +
+				   r->return_delay_us;
+		fake_at(f, (int)i, r->return_due_us - f->now_us, return_event,
+			r, NULL);
+	}
+}
+
 static void duty_event(struct fake *f, void *data)
 {
 	const struct call *call = data;
 
-	if (f->relays[call->relay].deaf || !is_current_process(f, call))
+	if (f->relays[call->relay].deaf || !is_current_process(f, call) ||
+	    !check_era(f, &f->relays[call->relay], f->era))
 		return;
 	relay_on_duty(f->relays[call->relay].relay, f->duty_revision,
 		      *f->duty_holder ? f->duty_holder : NULL, f->now_us);
@@ -306,6 +476,10 @@
 
 	if (!is_current_process(f, call))
 		return;
+	if (call->other_era) {
+		f->relays[call->relay].return_due_us = f->now_us;
+		check_era(f, &f->relays[call->relay], f->era);
+	}
 	relay_on_claimed(f->relays[call->relay].relay, call->outcome,
 			 call->revision, f->now_us);
 }
@@ -314,8 +488,9 @@
 {
 	struct call *call = data;
 
+	/* The store compares bare revisions, which it gives out again. */
 	call->outcome = RELAY_CLAIM_LOST;
-	if (call->number == f->duty_revision) {
+	if ((uint32_t)call->number == (uint32_t)f->duty_revision) {
 		call->outcome = RELAY_CLAIM_DONE;
 		f->revision += fake_random(f, 1, 4);
 		f->duty_revision = f->revision;
@@ -324,6 +499,9 @@
 		send_duty(f);
 	}
 	call->revision = f->duty_revision;
+	call->other_era = call->era != f->era;
+	if (call->other_era)
+		call->outcome = RELAY_CLAIM_UNKNOWN;
 	if (call->accepted)
 		fake_at(f, (int)call->relay, 2 * MS, claimed_event,
 			g_memdup2(call, sizeof(*call)), g_free);
@@ -336,7 +514,8 @@
 	struct fake *f = r->fake;
 	struct call call = { .relay = r->index,
 			     .life = r->life,
-			     .number = expected };
+			     .number = expected,
+			     .era = r->era };
 	uint64_t delay_us = 2 * MS;
 
 	call.outcome = RELAY_CLAIM_UNKNOWN;
@@ -360,6 +539,7 @@
 struct list_message {
 	struct fake_relay *relay;
 	unsigned life;
+	uint64_t era; /* that the relay knew when it was sent */
 	uint64_t revision;
 	struct relay_server_info infos[MAX_SERVERS];
 	unsigned n;
@@ -388,7 +568,10 @@
 
 	if (message->life != r->life)
 		return;
-	r->n_lists_in_flight--;
+	if (message->era == r->era)
+		r->n_lists_in_flight--;
+	if (!check_era(f, r, message->revision >> ERA_SHIFT))
+		return;
 	if (message->revision < r->list_revision) {
 		send_revision(r, message->revision);
 		return;
@@ -396,8 +579,7 @@
 	r->list_dropped = r->drop_lists;
 	if (!r->drop_lists) {
 		r->list_revision = message->revision;
-		relay_on_servers(r->relay, message->infos, message->n,
-				 f->now_us);
+		take_list(f, r, message->infos, message->n);
 	}
 	send_peers(f, r);
 	send_revision(r, message->revision);
@@ -406,28 +588,12 @@
 static void send_list(struct fake *f, struct fake_relay *r)
 {
 	struct list_message *message = g_new0(struct list_message, 1);
-	unsigned i;
 
 	message->relay = r;
 	message->life = r->life;
 	message->revision = f->revision;
-	for (i = 0; i < f->n_servers; i++) {
-		struct fake_server *s = &f->servers[i];
-
-		if (!s->listed)
-			continue;
-		message->infos[message->n++] = (struct relay_server_info){
-			.id = s->id,
-			.service = s->service,
-			.host = "10.0.0.1",
-			.port = 1,
-			.zone = "a",
-			.leaving = s->leaving,
-			.role = s->role,
-			.slots = FAKE_SLOTS,
-			.started_at_ms = s->started_at_ms,
-		};
-	}
+	message->n = list_servers(f, r, message->infos);
+	message->era = r->era;
 	r->n_lists_in_flight++;
 	fake_at(f, (int)r->index, 5 * MS + r->list_delay_us, list_event,
 		message, g_free);
@@ -494,6 +660,7 @@
 		return;
 	s->down = false;
 	s->listed = true;
+	s->forgotten = false;
 	if (s->term < f->top_term[s->group])
 		s->role = ROLE_REPLICA;
 	fake_publish_lists(f);
@@ -698,6 +865,7 @@
 	r->n_lists_in_flight = 0;
 	r->list_dropped = false;
 	r->known = r->list_revision = 0;
+	r->era = f->era;
 	r->frozen_until_us = 0;
 	start_relay(r, catalog);
 	relay_catalog_unref(catalog);
--- a/packages/relay/tests/test_histories.c
+++ b/packages/relay/tests/test_histories.c
@@ -190,13 +190,13 @@
 
 /*
  * Names of the guards, by their index in struct relay_guards. The first and the
- * last fifteen have tests of their own: confirm_writes, fresh_claim and
+ * last sixteen have tests of their own: confirm_writes, fresh_claim and
  * resume_under_duty in test_change; distrust_restarted in test_reborn;
  * claim_after_fence, distrust_unpaused, distrust_newly_listed and
  * check_list_age in test_newcomers; avoid_outliers, limit_in_flight,
  * leave_when_cut_off and renew_lease_at_once, on which no checked rule depends,
  * in test_routing, test_overload and test_homes; the four of accounts in
- * test_accounts.
+ * test_accounts; expect_forgotten in test_store_return.
  */
 static const char *const guards[] = {
 	"confirm_writes",     "await_lease_expiry",    "fence",
@@ -206,6 +206,7 @@
 	"distrust_unpaused",  "distrust_newly_listed", "check_list_age",
 	"leave_when_cut_off", "own_connections",       "check_keys",
 	"check_key_age",      "limit_accounts",	       "renew_lease_at_once",
+	"expect_forgotten",
 };
 
 #define GUARD_SEEDS 400
@@ -254,6 +255,6 @@
 	g_log_set_writer_func(discard_log, NULL, NULL);
 	tcase_add_test(tc, test_answers_are_true_under_faults);
 	tcase_add_loop_test(tc, test_checker_reports_a_disabled_guard, 1,
-			    G_N_ELEMENTS(guards) - 15);
+			    G_N_ELEMENTS(guards) - 16);
 	return suite_main("histories", tc);
 }
--- a/packages/transport/include/celeryquay/transport/kv_follow.h
+++ b/packages/transport/include/celeryquay/transport/kv_follow.h
@@ -128,11 +128,12 @@
 	 */
 	void (*store_call_ended)(void *ctx, bool answers, uint64_t took_us);
 	/*
-	 * The store came back from an older copy: what was written since that
-	 * copy is gone, and its revisions are given out again. Everything is
-	 * read again.
+	 * The store's era is known for the first time, or the store returned:
+	 * it came back from an older copy, what was written since that copy is
+	 * gone, and its revisions are given out again. Everything is read
+	 * again then.
 	 */
-	void (*store_returned)(void *ctx, uint64_t era);
+	void (*era)(void *ctx, uint64_t era, bool returned);
 	/*
 	 * The copy lacks the key. gone() follows unless it is written again
 	 * soon.
--- a/packages/transport/src/kv_follow.c
+++ b/packages/transport/src/kv_follow.c
@@ -144,6 +144,7 @@
 	bool is_first = !f->known_revision && !f->page;
 
 	f->era = era;
+	f->events->era(f->ctx, era, !is_first);
 	if (is_first)
 		return false;
 	restart_range(f);
@@ -152,7 +153,6 @@
 	g_clear_pointer(&f->previous_feed, g_free);
 	f->holds_deletions = f->store_returned = true;
 	uv_timer_start(&f->release, on_release, DELETION_HOLD_MS, 0);
-	f->events->store_returned(f->ctx, era);
 	return true;
 }
 
--- a/packages/transport/tests/support_kv.c
+++ b/packages/transport/tests/support_kv.c
@@ -444,10 +444,12 @@
 	p->n_malformed++;
 }
 
-static void on_store_returned(void *ctx, uint64_t era)
+static void on_era(void *ctx, uint64_t era, bool returned)
 {
 	struct proxy *p = ctx;
 
+	ck_assert(returned == (p->era != 0));
+	ck_assert_uint_gt(era, p->era);
 	p->era = era;
 }
 
@@ -505,7 +507,7 @@
 	.source = on_source,
 	.store_call_ended = on_heard,
 	.fed = on_fed,
-	.store_returned = on_store_returned,
+	.era = on_era,
 	.forgotten = on_forgotten,
 	.left_aside = on_left_aside,
 	.refused = on_refused,
--- a/packages/transport/tests/support_kv.h
+++ b/packages/transport/tests/support_kv.h
@@ -59,7 +59,7 @@
 		n_feed_failed, n_missing;
 	unsigned n_malformed;
 	unsigned n_left_aside, n_forgotten, n_gone;
-	uint64_t era; /* of the store's last return, 0: there was none */
+	uint64_t era; /* of the store, 0: unknown */
 	uint64_t age_us;
 	uint64_t known_at_us;
 };
