relay: a server that the store has forgotten may not confirm a primary alone

A proxy may know a server whose entry the store lost with its return. Another proxy that had not heard of the server before sees the copy without it, replaces the primary and pauses all servers but that one, which then confirms the old primary to the first proxy: a write is told as stored and is gone with the promotion.

Such a server is in doubt until its entry is written again: its word counts only together with that of all servers that may be promoted.

--- a/packages/relay/include/celeryquay/relay/server_list.h
+++ b/packages/relay/include/celeryquay/relay/server_list.h
@@ -30,6 +30,9 @@
  */
 void relay_server_list_mark_unusable(struct relay_server_list *l,
 				     const char *key);
+/* The store came back from a copy that lacks the key's entry. */
+void relay_server_list_mark_forgotten(struct relay_server_list *l,
+				      const char *key);
 unsigned relay_server_list_size(const struct relay_server_list *l);
 /* Calls `pass` with the list if it has changed since the last call. */
 void relay_server_list_pass(struct relay_server_list *l, struct relay *r,
--- a/packages/relay/src/server.c
+++ b/packages/relay/src/server.c
@@ -149,7 +149,7 @@
 		    uint64_t now_us)
 {
 	const struct relay_server_info *old = &s->info;
-	bool was_listed = s->listed;
+	bool was_listed = s->listed && !s->info.forgotten;
 
 	/*
 	 * Failure: an outdated entry of the id's earlier process arrives late,
@@ -169,11 +169,11 @@
 	/*
 	 * Other proxies may have dropped it meanwhile and not have paused it.
 	 */
-	if (s->listed && !was_listed)
+	if (s->listed && !was_listed && !info->forgotten)
 		rprimary_on_listed(s, now_us);
 	if (s->listed)
 		s->unlisted_at_us = 0;
-	else if (was_listed)
+	else if (!s->unlisted_at_us)
 		s->unlisted_at_us = now_us;
 }
 
--- a/packages/relay/src/server_list.c
+++ b/packages/relay/src/server_list.c
@@ -44,8 +44,8 @@
 	       !g_strcmp0(a->zone, b->zone) && a->port == b->port &&
 	       a->leaving == b->leaving && a->role == b->role &&
 	       a->slots == b->slots && a->started_at_ms == b->started_at_ms &&
-	       a->unusable == b->unusable && a->feed_port == b->feed_port &&
-	       a->mbps == b->mbps;
+	       a->unusable == b->unusable && a->forgotten == b->forgotten &&
+	       a->feed_port == b->feed_port && a->mbps == b->mbps;
 }
 
 /* NULL is ignored. */
@@ -111,6 +111,18 @@
 	l->changed = true;
 }
 
+/* Other proxies may not know of the server until its entry is put again. */
+void relay_server_list_mark_forgotten(struct relay_server_list *l,
+				      const char *key)
+{
+	struct relay_server_info *info = g_hash_table_lookup(l->infos, key);
+
+	if (!info)
+		return;
+	info->forgotten = true;
+	l->changed = true;
+}
+
 /* Number of entries. */
 unsigned relay_server_list_size(const struct relay_server_list *l)
 {
--- a/packages/relay/src/trust.c
+++ b/packages/relay/src/trust.c
@@ -35,6 +35,8 @@
  */
 bool rtrust_is_in_doubt(const struct rserver *s, uint64_t now_us)
 {
+	if (s->info.forgotten && s->relay->guards.expect_forgotten)
+		return true;
 	return s->doubted_at_us && now_us < s->doubted_at_us + DOUBT_US;
 }
 
--- a/packages/relay/tests/test_store_return.c
+++ b/packages/relay/tests/test_store_return.c
@@ -2,6 +2,8 @@
 
 #include <celeryquay/suite.h>
 
+#include <stddef.h>
+
 /*
  * The store comes back from an older copy while a primary is replaced: claims
  * and servers' entries are gone, and proxies learn of it one after the other.
@@ -62,6 +64,36 @@
 	return scenario_finish(f);
 }
 
+/*
+ * One proxy has not heard of a new replica when the store forgets it, and the
+ * replica can't write its entry again. The other proxies know it, hear of the
+ * return, and are then cut off from the store.
+ */
+static char *replica_that_one_proxy_never_knew(uint32_t seed)
+{
+	struct fake *f = start(seed);
+	unsigned changer = seed % SCENARIO_RELAYS, i, added;
+
+	f->promote_duration_us = 1000 * MS;
+	fake_copy_store(f);
+	f->relays[changer].list_delay_us = 20 * USEC_PER_SEC;
+	added = fake_add_replica(f, 0);
+	f->servers[added].without_store = true;
+	fake_run(f, USEC_PER_SEC);
+	fake_restore_store(f);
+	f->relays[changer].list_delay_us = 0;
+	fake_run(f, 50 * MS);
+	for (i = 0; i < SCENARIO_RELAYS; i++)
+		f->relays[i].deaf = i != changer;
+	fake_crash(f, 0);
+	scenario_run_until(f, PHASE_PROMOTE);
+	fake_run(f, fake_random(f, 0, 400) * MS);
+	fake_restart(f, 0);
+	fake_run(f, 6 * USEC_PER_SEC);
+	f->servers[added].without_store = false;
+	return scenario_finish(f);
+}
+
 /* Fails if a proxy acts on a claim that the store has forgotten. */
 START_TEST(test_a_claim_of_a_proxy_that_learns_late)
 {
@@ -76,6 +108,22 @@
 }
 END_TEST
 
+/* Fails if a server that the store has forgotten confirms a primary. */
+START_TEST(test_a_replica_that_one_proxy_never_knew)
+{
+	scenario_check_guarantees(replica_that_one_proxy_never_knew);
+}
+END_TEST
+
+/* The checker notices if a forgotten server confirms a primary. */
+START_TEST(test_forgotten_servers_and_claims_still_count)
+{
+	scenario_check_guard_is_needed(replica_that_one_proxy_never_knew,
+				       offsetof(struct relay_guards,
+						expect_forgotten));
+}
+END_TEST
+
 /* Fails if proxies go on expecting a duty record that the copy lacks. */
 START_TEST(test_a_primary_is_replaced_after_the_record_is_gone)
 {
@@ -235,6 +283,8 @@
 	tcase_set_timeout(tc, 0);
 	tcase_add_test(tc, test_a_claim_of_a_proxy_that_learns_late);
 	tcase_add_test(tc, test_a_promotion_that_is_told_late);
+	tcase_add_test(tc, test_a_replica_that_one_proxy_never_knew);
+	tcase_add_test(tc, test_forgotten_servers_and_claims_still_count);
 	tcase_add_test(tc, test_a_primary_is_replaced_after_the_record_is_gone);
 	tcase_add_test(tc, test_returns_among_other_faults);
 	return suite_main("store-return", tc);
