soak: the store comes back from older copies

Nothing of ours could bring the store back older, so no test could have shown the incident. The stand-in's store copies what it holds, leases too, and returns from the copy in its next era at any moment: its revisions are given out again, a watch from one that it lacks gets 410, answers carry Store-Era, calls that it still holds run in the new era. What servers and operators wrote is written again within 2 s, what nobody writes lapses.

At the end every proxy must have the last version of the configuration in force.

--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -27,6 +27,7 @@
 	uint16_t store;
 	bool ready;
 	bool asked; /* the balancer waits for an answer */
+	bool has_answered; /* the balancer, since this process started */
 	unsigned misses;
 	bool end_expected;
 	uint64_t stopped_us; /* SIGTERM was sent then, 0: not */
@@ -58,6 +59,8 @@
 /* One that the balancer sends callers to; NULL: none. */
 struct fleet_proxy *fleet_pick(struct fleet *f, GRand *rng);
 bool fleet_all_ready(const struct fleet *f);
+/* All have this version of the configuration in force, by their metrics. */
+bool fleet_all_configured(const struct fleet *f, unsigned version);
 /* The most that any proxy has now. */
 unsigned fleet_most_files(const struct fleet *f);
 unsigned fleet_most_memory_kb(const struct fleet *f);
--- a/tests/soak/plan.c
+++ b/tests/soak/plan.c
@@ -1,11 +1,13 @@
 #include "plan.h"
 
 #include "member.h"
+#include "operator.h"
 
 #include <signal.h>
 
 #define FIRST_US (500 * MS)
 #define CHANGES_SEED 0x6d656d62 /* they draw beside the other faults */
+#define RETURNS_SEED 0x72657475 /* they draw beside all others, too */
 #define CHANGES_FIRST_US (1500 * MS)
 #define CHANGES_LEAST_MS 2000 /* from one to the next */
 #define CHANGES_MOST_MS 5000
@@ -51,6 +53,9 @@
 	STORE_FAULT,
 	STORE_FINE,
 	FORGET,
+	COPY,
+	RETURN,
+	CONFIGURE,
 	RESET_ROUTE,
 	DELAY_ROUTE,
 	SILENCE_ROUTE,
@@ -96,6 +101,9 @@
 	[STORE_FAULT] = "store fault",
 	[STORE_FINE] = "store fine",
 	[FORGET] = "store forgets",
+	[COPY] = "store is copied",
+	[RETURN] = "store comes back from the copy",
+	[CONFIGURE] = "operators write",
 	[RESET_ROUTE] = "reset route",
 	[DELAY_ROUTE] = "delay route",
 	[SILENCE_ROUTE] = "silence route",
@@ -354,6 +362,40 @@
 	return p;
 }
 
+/*
+ * The store is copied, is away for a moment, and comes back from the copy;
+ * operators write before, meanwhile and after. A proxy may start just then.
+ */
+static void add_store_return(struct plan *p, uint64_t at_us)
+{
+	unsigned proxy = draw(p, 0, p->n_proxies);
+	uint64_t away_us = at_us + draw(p, 500, 4000) * MS;
+	uint64_t back_us = away_us + draw(p, 50, 1500) * MS;
+
+	add(p, at_us, COPY, 0, 0);
+	add(p, at_us + draw(p, 0, 4000) * MS, CONFIGURE, 0, 0);
+	if (draw(p, 0, 4))
+		add(p, away_us, STORE_FAULT, 0,
+		    draw(p, STORE_REFUSES, STORE_LOSES + 1));
+	add(p, back_us, RETURN, 0, draw(p, 0, 2000));
+	add(p, back_us, STORE_FINE, 0, 0);
+	add(p, back_us + draw(p, 0, 3000) * MS, CONFIGURE, 0, 0);
+	if (!draw(p, 0, 3))
+		add(p, back_us + draw(p, 0, 1000) * MS, KILL, proxy, 0);
+}
+
+void plan_add_returns(struct plan *p, uint32_t seed, uint64_t length_us)
+{
+	uint64_t at_us = FIRST_US;
+
+	g_rand_set_seed(p->rng, seed ^ RETURNS_SEED);
+	while (at_us < length_us) {
+		add_store_return(p, at_us);
+		at_us += draw(p, 3000, 8000) * MS;
+	}
+	g_array_sort(p->events, by_time);
+}
+
 static const char *route_name(enum route_kind kind)
 {
 	static const char *const names[] = { "server", "store", "front" };
@@ -567,6 +609,12 @@
 		store_set_fault(p->store, STORE_GOOD);
 	else if (e->action == FORGET)
 		store_forget_history(p->store);
+	else if (e->action == COPY)
+		store_copy(p->store);
+	else if (e->action == RETURN)
+		store_restore(p->store, e->amount);
+	else if (e->action == CONFIGURE)
+		operator_put_config(p->store, p->groups);
 	else if (e->action >= LEAD_CRASH)
 		run_change(e);
 	else if (e->action >= CRASH)
--- a/tests/soak/plan.h
+++ b/tests/soak/plan.h
@@ -9,6 +9,11 @@
 
 struct plan *plan_create(uint32_t seed, unsigned n_proxies, unsigned n_servers,
 			 uint64_t length_us, unsigned gap_ms, bool stay);
+/*
+ * Adds returns of the store from older copies until length_us, and operators'
+ * writes.
+ */
+void plan_add_returns(struct plan *p, uint32_t seed, uint64_t length_us);
 /* One line for each, "2.350 s: kill proxy-1". */
 char *plan_text(const struct plan *p);
 /* Lets all happen, from now on. */
--- a/tests/soak/store.h
+++ b/tests/soak/store.h
@@ -36,5 +36,12 @@
 void store_set_fault(struct store *s, enum store_fault fault);
 /* What was before is known no more; watches from there get 410. */
 void store_forget_history(struct store *s);
+/* Makes a copy of what the store holds. */
+void store_copy(struct store *s);
+/*
+ * Comes back from that copy in the next era; nothing if there is none. What
+ * servers and operators wrote since is written again after rewrite_ms.
+ */
+void store_restore(struct store *s, unsigned rewrite_ms);
 
 #endif
