--- a/packages/transport/include/celeryquay/transport/kv_feed.h
+++ b/packages/transport/include/celeryquay/transport/kv_feed.h
@@ -24,6 +24,9 @@
 void kv_feed_set(struct kv_feed *f, const char *key, uint64_t revision,
 		 struct str value);
 void kv_feed_delete(struct kv_feed *f, const char *key, uint64_t revision);
+/* The value of a key and its stamp; false: there is none. */
+bool kv_feed_get(const struct kv_feed *f, const char *key, uint64_t *revision,
+		 struct str *value);
 /*
  * The changes reported so far form one consistent state; at: its revision of
  * the store.
--- a/packages/transport/src/kv_feed.c
+++ b/packages/transport/src/kv_feed.c
@@ -179,6 +179,19 @@
 	add_change(f, key, revision, false);
 }
 
+/* The value belongs to the feed and lasts until the key's next change. */
+bool kv_feed_get(const struct kv_feed *f, const char *key, uint64_t *revision,
+		 struct str *value)
+{
+	const struct entry *e = g_hash_table_lookup(f->entries, key);
+
+	if (!e)
+		return false;
+	*revision = e->revision;
+	*value = str_from_bytes(e->value);
+	return true;
+}
+
 /* Records that a key was deleted. */
 void kv_feed_delete(struct kv_feed *f, const char *key, uint64_t revision)
 {
