store: the own interface's items after the store came back older

Operators' changes through the own interface had the fault of the relay: after the store came back from a copy, what they wrote under revisions that the proxies had seen was ignored, until the revisions had passed.

The client of the store makes stamps of era and revision as the relay's follower does, so the spread of items between proxies, which lets the higher revision win, needs no change. A watch from an earlier era ends like one from a compacted revision, and everything is listed again; pages of two eras make no list; a write that expects a revision of an earlier era is not sent but answered with what is stored; one that met its condition in another era has an unknown outcome. Items that the copy lacks and a proxy knows are written again before the list is applied: an operator was told that they are stored.

What remains: an item that the copy has in an older value, or that was removed since the copy, is as the copy has it until it is changed again. Its revision does not say whether the copy or an operator wrote it.

--- a/packages/daemon/src/store_sync.c
+++ b/packages/daemon/src/store_sync.c
@@ -2,6 +2,7 @@
 #include "store_sync.h"
 
 #include <celeryquay/base/log.h>
+#include <celeryquay/transport/kv_stamp.h>
 #include <json-glib/json-glib.h>
 
 #include <inttypes.h>
@@ -19,6 +20,8 @@
 #define BACKOFF_MAX_US (10 * USEC_PER_SEC)
 /* Maximum number of reads to find out whether a change took effect. */
 #define CHANGE_LOOKUPS_MAX 5
+/* Attempts to write items again that the store has lost. */
+#define REWRITES_MAX 5
 /* A node with seeds waits this long for its peers before it lists the store. */
 #define PEERS_WAIT_US (500 * USEC_PER_MSEC)
 
@@ -40,6 +43,10 @@
 	uint64_t next_at_us; /* earliest time of the next list or watch */
 	uint64_t watch_opened_at_us; /* when the current watch was opened */
 	uint64_t revision; /* applied up to this one; 0: list first */
+	uint64_t listed; /* revision of the last list that was applied */
+	unsigned n_rewriting; /* lost items that are being written */
+	unsigned n_rewrites; /* attempts since the store returned */
+	bool rewrite_failed; /* the store did not answer one of them */
 	uint64_t backoff_us; /* next wait, before the jitter */
 	uint64_t started_at_us;
 	GHashTable *records; /* key -> struct record */
@@ -168,6 +175,99 @@
 		    WATCH_SILENCE_MAX_US, &watch_events, s);
 }
 
+/* Items known here that a list lacks. */
+struct lost {
+	GHashTable *listed; /* keys with MODEL_PREFIX */
+	GPtrArray *items; /* struct item */
+};
+
+static void add_if_lost(struct item *item, void *ctx)
+{
+	struct lost *lost = ctx;
+	char *key = g_strconcat(MODEL_PREFIX, item->key, NULL);
+
+	if (item->kind != ITEM_MEMBER && !item->removed &&
+	    !g_hash_table_contains(lost->listed, key))
+		g_ptr_array_add(lost->items, item_ref(item));
+	g_free(key);
+}
+
+static void unref_item(gpointer item)
+{
+	item_unref(item);
+}
+
+static GPtrArray *find_lost(struct store_sync *s, const struct store_kv *kvs,
+			    unsigned n)
+{
+	struct lost lost = {
+		.listed = g_hash_table_new(g_str_hash, g_str_equal),
+		.items = g_ptr_array_new_with_free_func(unref_item),
+	};
+	unsigned i;
+
+	for (i = 0; i < n; i++)
+		g_hash_table_add(lost.listed, (char *)kvs[i].key);
+	model_each(s->node->model, add_if_lost, &lost);
+	g_hash_table_destroy(lost.listed);
+	return lost.items;
+}
+
+/* The list is read again once all writes have ended. */
+static void on_rewritten(void *user, const struct err *err, bool took_effect,
+			 uint64_t revision, const struct store_kv *current)
+{
+	struct store_sync *s = user;
+
+	(void)took_effect; /* another node may have been first */
+	(void)revision;
+	(void)current;
+	s->rewrite_failed |= err->code != ERR_NONE;
+	if (--s->n_rewriting)
+		return;
+	if (s->rewrite_failed) {
+		back_off(s);
+		return;
+	}
+	s->state = WATCH_IDLE;
+	s->next_at_us = 0;
+}
+
+static void rewrite(struct store_sync *s, const struct item *item)
+{
+	char *key = g_strconcat(MODEL_PREFIX, item->key, NULL);
+	struct str value = str_from_c(item->json);
+
+	LOG_WARN("the store came back without %s, it is written again",
+		 item->key);
+	s->n_rewriting++;
+	store_cas(s->node->store, key, 0, &value, on_rewritten, s);
+	g_free(key);
+}
+
+/*
+ * Whether items were lost with the store's return from an older copy. An
+ * operator was told that they are stored, so they are written again, unless
+ * somebody did meanwhile.
+ */
+static bool rewrite_lost(struct store_sync *s, uint64_t revision,
+			 const struct store_kv *kvs, unsigned n)
+{
+	GPtrArray *lost;
+	unsigned i;
+
+	if (!s->listed || kv_stamp_era(revision) <= kv_stamp_era(s->listed) ||
+	    s->n_rewrites >= REWRITES_MAX)
+		return false;
+	lost = find_lost(s, kvs, n);
+	s->n_rewrites += lost->len > 0;
+	s->rewrite_failed = false;
+	for (i = 0; i < lost->len; i++)
+		rewrite(s, g_ptr_array_index(lost, i));
+	g_ptr_array_unref(lost);
+	return s->n_rewriting > 0;
+}
+
 static void on_list(void *user, const struct err *err, uint64_t revision,
 		    const struct store_kv *kvs, unsigned n)
 {
@@ -181,12 +281,15 @@
 		back_off(s);
 		return;
 	}
+	if (rewrite_lost(s, revision, kvs, n))
+		return;
 	confsync_list_begin(s->node->confsync);
 	for (i = 0; i < n; i++)
 		apply_kv(s, &kvs[i]);
 	confsync_list_done(s->node->confsync, revision, node_now_us());
 	s->backoff_us = BACKOFF_MIN_US;
-	s->revision = revision;
+	s->revision = s->listed = revision;
+	s->n_rewrites = 0;
 	s->state = WATCH_IDLE;
 	if (confsync_is_watcher(s->node->confsync))
 		watch(s);
--- a/packages/standin/src/store.h
+++ b/packages/standin/src/store.h
@@ -31,6 +31,7 @@
 	struct control_http *http;
 	struct control_http *control;
 	struct store_faults faults;
+	uint64_t era; /* rises when the store comes back older */
 	GQueue held; /* requests that are not answered yet */
 	GHashTable *calls; /* path -> uint64_t */
 	uint64_t reset_us;
@@ -43,6 +44,7 @@
 bool store_on_request(void *data, h2o_req_t *req);
 void store_front_tick(struct store *store);
 void store_front_drop_all(struct store *store);
+void store_restore(struct store *store, int64_t revision);
 void store_set_outage(struct store *store, enum store_outage outage);
 uint64_t store_now_us(void);
 
--- a/packages/standin/src/store_control.c
+++ b/packages/standin/src/store_control.c
@@ -94,6 +94,20 @@
 	return NULL;
 }
 
+static JsonNode *on_restore(void *data, JsonObject *body, unsigned *status)
+{
+	struct store *store = data;
+	int64_t revision = control_int(body, "revision", 0);
+
+	if (revision < 1 || revision > store_table_revision(store->kv.table) ||
+	    revision < store_table_compacted(store->kv.table)) {
+		*status = 400;
+		return control_http_message("no such revision");
+	}
+	store_restore(store, revision);
+	return NULL;
+}
+
 static JsonNode *on_replay(void *data, JsonObject *body, unsigned *status)
 {
 	struct store *store = data;
@@ -165,6 +179,7 @@
 	(void)status;
 	json_object_set_int_member(state, "revision",
 				   store_table_revision(store->kv.table));
+	json_object_set_int_member(state, "era", (gint64)store->era);
 	json_object_set_int_member(state, "compact_revision",
 				   store_table_compacted(store->kv.table));
 	json_object_set_int_member(state, "keys",
@@ -193,6 +208,7 @@
 	{ "POST", "/silent_watches", on_silent_watches },
 	{ "POST", "/lapse_leases", on_lapse_leases },
 	{ "POST", "/compact", on_compact },
+	{ "POST", "/restore", on_restore },
 	{ "POST", "/replay", on_replay },
 	{ "POST", "/reset_counters", on_reset_counters },
 	{ "GET", "/state", on_state },
--- a/packages/standin/src/store_front.c
+++ b/packages/standin/src/store_front.c
@@ -9,6 +9,7 @@
 
 #define WATCH_PATH "/v3/watch"
 #define REAP_TICKS 20
+#define ERA_TEXT_MAX 24
 
 /*
  * A request whose answer is held back: either it hasn't been run (hang), or
@@ -112,6 +113,19 @@
 		control_http_answer(req, status, answer);
 }
 
+/* The era in which the request is run. */
+static void add_era(struct store *store, h2o_req_t *req)
+{
+	char text[ERA_TEXT_MAX];
+	h2o_iovec_t value;
+
+	g_snprintf(text, sizeof(text), "%" G_GUINT64_FORMAT, store->era);
+	value = h2o_strdup(&req->pool, text, SIZE_MAX);
+	h2o_add_header_by_str(&req->pool, &req->res.headers,
+			      H2O_STRLIT("store-era"), 0, NULL, value.base,
+			      value.len);
+}
+
 static void run_request(struct store *store, h2o_req_t *req)
 {
 	const struct store_call *call = store_find_call(
@@ -119,6 +133,7 @@
 	struct store_error error = { 0 };
 	JsonNode *body = control_http_parse(req);
 
+	add_era(store, req);
 	store->kv.now_us = store_now_us();
 	if (!body)
 		store_fail(&error, STORE_INVALID_ARGUMENT,
@@ -165,6 +180,7 @@
 		run_request(store, req);
 		break;
 	case OUTAGE_UNAVAILABLE:
+		add_era(store, req);
 		store_fail(&error, STORE_UNAVAILABLE, "etcdserver: no leader");
 		answer_error(req, &error);
 		break;
@@ -223,6 +239,20 @@
 	control_http_cut_all(store->http);
 }
 
+/*
+ * Comes back from a copy of a revision: what was written since is gone, and its
+ * revisions are given out again. Open watches end.
+ */
+void store_restore(struct store *store, int64_t revision)
+{
+	store->era++;
+	LOG_INFO("back at revision %" G_GINT64_FORMAT
+		 ", era %" G_GUINT64_FORMAT,
+		 revision, store->era);
+	store_table_rewind(store->kv.table, revision);
+	store_watches_close_all(store->watches);
+}
+
 /*
  * Starts or ends an outage. Leases don't expire in one and start anew after
  * it, as in etcd, where only a leader expires them.
--- a/packages/standin/src/store_table.c
+++ b/packages/standin/src/store_table.c
@@ -274,6 +274,52 @@
 	table->compacted = revision;
 }
 
+/* Removes the versions after a revision; true if none is left. */
+static bool rewind_versions(GPtrArray *versions, int64_t revision)
+{
+	const struct store_entry *last;
+
+	while (versions->len) {
+		last = g_ptr_array_index(versions, versions->len - 1);
+		if (last->mod_revision <= revision)
+			break;
+		g_ptr_array_set_size(versions, (gint)versions->len - 1);
+	}
+	return !versions->len;
+}
+
+static void rewind_events(struct store_table *table, int64_t revision)
+{
+	uint64_t end = store_table_find_event(table, revision + 1);
+
+	g_ptr_array_set_size(table->events, (gint)(end - table->first_event));
+}
+
+/*
+ * Goes back to what the table held at a revision that is not compacted; the
+ * revisions after it are given out again.
+ */
+void store_table_rewind(struct store_table *table, int64_t revision)
+{
+	g_autoptr(GPtrArray) empty = g_ptr_array_new();
+	GTreeNode *node = g_tree_node_first(table->keys);
+	guint i;
+
+	table->size = 0;
+	for (; node; node = g_tree_node_next(node)) {
+		GPtrArray *versions = g_tree_node_value(node);
+
+		if (rewind_versions(versions, revision))
+			g_ptr_array_add(empty, g_tree_node_key(node));
+		else if (version_at(versions, 0))
+			table->size++;
+	}
+	for (i = 0; i < empty->len; i++)
+		g_tree_remove(table->keys, g_ptr_array_index(empty, i));
+	rewind_events(table, revision);
+	table->revision = revision;
+}
+
 /*
  * The number of the oldest event that is still there. Events are numbered
  * from 0 over the table's whole life.
--- a/packages/standin/src/store_table.h
+++ b/packages/standin/src/store_table.h
@@ -43,6 +43,7 @@
 unsigned store_table_delete(struct store_table *table,
 			    const struct store_range *range);
 void store_table_compact(struct store_table *table, int64_t revision);
+void store_table_rewind(struct store_table *table, int64_t revision);
 
 const struct store_entry *store_table_get(const struct store_table *table,
 					  GBytes *key, int64_t revision);
--- a/packages/standin/tests/test_store.c
+++ b/packages/standin/tests/test_store.c
@@ -63,6 +63,25 @@
 }
 END_TEST
 
+START_TEST(restore_gives_revisions_out_again)
+{
+	put(KEY_A, "MQ==");
+	put(KEY_A, "Mg==");
+	put(KEY_B, "MQ==");
+	fault("/restore", "{\"revision\":2}");
+	expect("/v3/kv/range", "{\"key\":\"YQ==\"}",
+	       "{\"kvs\":[{\"key\":\"YQ==\",\"create_revision\":\"2\","
+	       "\"mod_revision\":\"2\",\"version\":\"1\","
+	       "\"value\":\"MQ==\"}],\"count\":\"1\"}");
+	expect("/v3/kv/range", "{\"key\":\"Yg==\"}", "{}");
+	ck_assert_int_eq(state_int(control, "revision"), 2);
+	ck_assert_int_eq(state_int(control, "keys"), 1);
+	ck_assert_int_eq(state_int(control, "era"), 1);
+	put(KEY_B, "Mg==");
+	ck_assert_int_eq(state_int(control, "revision"), 3);
+}
+END_TEST
+
 START_TEST(txn_compares)
 {
 	static const struct {
@@ -333,6 +352,7 @@
 	tcase_add_checked_fixture(tcase, setup, teardown);
 	tcase_add_test(tcase, keys_are_put_read_and_deleted);
 	tcase_add_test(tcase, old_revisions_are_read_until_compacted);
+	tcase_add_test(tcase, restore_gives_revisions_out_again);
 	tcase_add_test(tcase, txn_compares);
 	tcase_add_test(tcase, txn_of_two_at_once_lets_one_win);
 	tcase_add_test(tcase, bad_calls_are_refused_whole);
--- a/packages/transport/src/store.c
+++ b/packages/transport/src/store.c
@@ -21,6 +21,7 @@
 	char *prefix; /* of a range; NULL: the operation has one key */
 	GArray *kvs; /* struct store_kv, read so far */
 	uint64_t revision; /* of the first page; 0: none has come yet */
+	uint64_t expected; /* of a write: the key's revision; 0: no such key */
 	store_range_fn range_done;
 	store_cas_fn cas_done;
 	void *user;
@@ -66,7 +67,8 @@
 	return (const struct store_kv *)(const void *)op->kvs->data;
 }
 
-static void on_page(void *ctx, const struct err *err, JsonObject *answer);
+static void on_page(void *ctx, const struct err *err, JsonObject *answer,
+		    uint64_t era);
 
 static void request_page(struct op *op, const char *from)
 {
@@ -97,28 +99,50 @@
 	g_free(from);
 }
 
-static void on_page(void *ctx, const struct err *err, JsonObject *answer)
+/* A range has one era. False: this page is of another one than the first. */
+static bool take_page(struct op *op, JsonObject *answer, uint64_t era)
 {
-	struct op *op = ctx;
-	guint before = op->kvs->len;
+	if (op->revision && kv_stamp_era(op->revision) != era)
+		return false;
+	if (!op->revision)
+		op->revision = store_body_revision(answer, era);
+	store_body_kvs(answer, era, op->kvs);
+	return true;
+}
 
-	if (answer) {
-		if (!op->revision)
-			op->revision = store_body_revision(answer);
-		store_body_kvs(answer, op->kvs);
-		if (op->prefix && store_body_bool(answer, "more") &&
-		    op->kvs->len > before) {
-			request_next_page(op);
-			return;
-		}
-	}
+static void finish_range(struct op *op, const struct err *err)
+{
 	op_unlink(op);
 	if (err->code)
 		g_array_set_size(op->kvs, 0);
-	op->range_done(op->user, err, op->revision, kvs_of(op), op->kvs->len);
+	if (op->range_done)
+		op->range_done(op->user, err, op->revision, kvs_of(op),
+			       op->kvs->len);
+	else
+		op->cas_done(op->user, err, false, op->revision,
+			     op->kvs->len ? kvs_of(op) : NULL);
 	op_free(op);
 }
 
+static void on_page(void *ctx, const struct err *err, JsonObject *answer,
+		    uint64_t era)
+{
+	struct op *op = ctx;
+	guint before = op->kvs->len;
+	struct err why = *err;
+
+	if (answer && !take_page(op, answer, era))
+		err_set(&why, ERR_STORE_DOWN,
+			"the store came back from an older copy between two "
+			"pages");
+	if (!why.code && op->prefix && store_body_bool(answer, "more") &&
+	    op->kvs->len > before) {
+		request_next_page(op);
+		return;
+	}
+	finish_range(op, &why);
+}
+
 /* Reads all keys with the prefix at one revision. */
 void store_range(struct store *s, const char *prefix, store_range_fn done,
 		 void *user)
@@ -141,7 +165,7 @@
 }
 
 /* Reads the key as stored, which the transaction's failure branch returned. */
-static void read_current(JsonObject *answer, GArray *kvs)
+static void read_current(JsonObject *answer, uint64_t era, GArray *kvs)
 {
 	JsonNode *node = json_object_get_member(answer, "responses");
 	JsonArray *list;
@@ -155,26 +179,38 @@
 	if (JSON_NODE_HOLDS_OBJECT(node))
 		store_body_kvs(store_body_object(json_node_get_object(node),
 						 "response_range"),
-			       kvs);
+			       era, kvs);
 }
 
-static void on_cas(void *ctx, const struct err *err, JsonObject *answer)
+/*
+ * A write that took effect in another era than its condition was read in may
+ * have met it by chance. Its outcome is for the calling code to read.
+ */
+static void on_cas(void *ctx, const struct err *err, JsonObject *answer,
+		   uint64_t era)
 {
 	struct op *op = ctx;
-	uint64_t revision = store_body_revision(answer);
+	uint64_t revision = store_body_revision(answer, era);
 	bool took_effect = answer && store_body_bool(answer, "succeeded");
+	struct err why = *err;
 
 	if (answer && !took_effect)
-		read_current(answer, op->kvs);
+		read_current(answer, era, op->kvs);
+	if (took_effect && op->expected && kv_stamp_era(op->expected) != era) {
+		took_effect = false;
+		err_set(&why, ERR_STORE_DOWN,
+			"the store came back from an older copy meanwhile");
+	}
 	op_unlink(op);
-	op->cas_done(op->user, err, took_effect, revision,
+	op->cas_done(op->user, &why, took_effect, revision,
 		     op->kvs->len ? kvs_of(op) : NULL);
 	op_free(op);
 }
 
 /*
  * Writes or removes one key if its revision is the expected one. After
- * STORE_DOWN the write may or may not have been made.
+ * STORE_DOWN the write may or may not have been made. A revision of an earlier
+ * era can't be the key's any more, so the key is only read.
  */
 void store_cas(struct store *s, const char *key, uint64_t expected,
 	       const struct str *value, store_cas_fn done, void *user)
@@ -182,11 +218,16 @@
 	struct op *op = op_create(s, user);
 	struct store_post post = {
 		.path = TXN_PATH,
-		.body = store_body_cas(key, expected, value),
 		.writes = true,
 	};
 
 	op->cas_done = done;
+	op->expected = expected;
+	if (expected && kv_stamp_era(expected) < s->link.era) {
+		request_page(op, key);
+		return;
+	}
+	post.body = store_body_cas(key, expected, value);
 	store_call(&s->link, &post, on_cas, op);
 }
 
--- a/packages/transport/src/store_body.c
+++ b/packages/transport/src/store_body.c
@@ -56,7 +56,7 @@
 		g_string_append_printf(out,
 				       ",\"revision\":\"%" G_GUINT64_FORMAT
 				       "\"",
-				       page->revision);
+				       kv_stamp_revision(page->revision));
 	g_string_append_c(out, '}');
 	return out;
 }
@@ -79,7 +79,7 @@
 			       ",\"target\":\"%s\",\"result\":\"EQUAL\","
 			       "\"%s\":\"%" G_GUINT64_FORMAT
 			       "\"}],\"success\":[{\"%s\":{",
-			       target, field, expected, op);
+			       target, field, kv_stamp_revision(expected), op);
 	append_key(out, key);
 	if (value) {
 		g_string_append_c(out, ',');
@@ -101,7 +101,7 @@
 	g_string_append_printf(out,
 			       ",\"start_revision\":\"%" G_GUINT64_FORMAT
 			       "\",\"progress_notify\":true}}",
-			       from_revision);
+			       kv_stamp_revision(from_revision));
 	return out;
 }
 
@@ -182,9 +182,12 @@
 }
 
 /* The store's revision from an answer's header; 0 when it is absent. */
-uint64_t store_body_revision(JsonObject *answer)
+uint64_t store_body_revision(JsonObject *answer, uint64_t era)
 {
-	return store_body_u64(store_body_object(answer, "header"), "revision");
+	uint64_t revision =
+		store_body_u64(store_body_object(answer, "header"), "revision");
+
+	return revision ? kv_stamp(era, revision) : 0;
 }
 
 static char *get_bytes(JsonObject *o, const char *name, size_t *len)
@@ -203,7 +206,7 @@
  * Reads one key with its value; false when there is no object. The strings in
  * *out are freed by the array from store_kvs_create() that it is added to.
  */
-bool store_body_kv(JsonObject *o, struct store_kv *out)
+bool store_body_kv(JsonObject *o, uint64_t era, struct store_kv *out)
 {
 	size_t key_len;
 
@@ -211,7 +214,7 @@
 		return false;
 	out->key = get_bytes(o, "key", &key_len);
 	out->value.data = get_bytes(o, "value", &out->value.len);
-	out->mod_revision = store_body_u64(o, "mod_revision");
+	out->mod_revision = kv_stamp(era, store_body_u64(o, "mod_revision"));
 	out->removed = false;
 	return true;
 }
@@ -234,7 +237,7 @@
 }
 
 /* Appends the keys from the "kvs" list of a range answer. */
-void store_body_kvs(JsonObject *o, GArray *out)
+void store_body_kvs(JsonObject *o, uint64_t era, GArray *out)
 {
 	JsonArray *list = get_array(o, "kvs");
 	guint n = list ? json_array_get_length(list) : 0;
@@ -245,7 +248,7 @@
 		struct store_kv kv;
 
 		if (JSON_NODE_HOLDS_OBJECT(node) &&
-		    store_body_kv(json_node_get_object(node), &kv))
+		    store_body_kv(json_node_get_object(node), era, &kv))
 			g_array_append_val(out, kv);
 	}
 }
--- a/packages/transport/src/store_call.c
+++ b/packages/transport/src/store_call.c
@@ -3,6 +3,7 @@
 
 #include <celeryquay/base/log.h>
 
+#define ERA_HEADER "Store-Era"
 #define HTTP_OK 200
 #define HTTP_SERVER_ERROR 500
 
@@ -11,6 +12,7 @@
 	GList node; /* in the link's `open` queue */
 	const char *path;
 	GString *body;
+	struct http_call *http; /* the latest attempt */
 	bool writes;
 	unsigned url_index; /* index of the URL of the latest attempt */
 	unsigned n_attempts; /* so far; at most the number of URLs */
@@ -52,6 +54,27 @@
 		link->current = (url_index + 1) % link->n_urls;
 }
 
+/* Reads the era of an answer; an answer of an older era came late. */
+bool store_link_read_era(struct store_link *link, const struct http_call *call,
+			 uint64_t *era, struct err *err)
+{
+	const char *text = http_response_header(call, ERA_HEADER);
+
+	if (!kv_stamp_parse_era(text, era)) {
+		err_set(err, ERR_STORE_DOWN, "unreadable era \"%.32s\"", text);
+		return false;
+	}
+	if (*era < link->era) {
+		err_set(err, ERR_STORE_DOWN,
+			"an answer of era %" G_GUINT64_FORMAT
+			" came after one of era %" G_GUINT64_FORMAT,
+			*era, link->era);
+		return false;
+	}
+	link->era = *era;
+	return true;
+}
+
 /* The current URL with the path appended; freed with g_free(). */
 char *store_link_url(const struct store_link *link, const char *path)
 {
@@ -68,10 +91,10 @@
  * the callback may destroy the store, which frees all calls that are linked.
  */
 static void finish(struct store_call *call, const struct err *err,
-		   JsonObject *answer)
+		   JsonObject *answer, uint64_t era)
 {
 	g_queue_unlink(&call->link->open, &call->node);
-	call->done(call->ctx, err, answer);
+	call->done(call->ctx, err, answer, era);
 	call_free(call);
 }
 
@@ -93,8 +116,11 @@
 	JsonParser *parser = NULL;
 	JsonObject *answer = store_body_parse(body, &parser);
 	struct err err = { 0 };
+	uint64_t era;
 
-	if (status != HTTP_OK) {
+	if (!store_link_read_era(call->link, call->http, &era, &err)) {
+		answer = NULL;
+	} else if (status != HTTP_OK) {
 		read_error(answer, status, &err);
 		answer = NULL;
 	} else if (!answer) {
@@ -102,7 +128,7 @@
 	}
 	if (err.code == ERR_STORE_DOWN)
 		store_link_url_failed(call->link, call->url_index);
-	finish(call, &err, answer);
+	finish(call, &err, answer, era);
 	g_clear_object(&parser);
 }
 
@@ -134,7 +160,7 @@
 		start(call);
 		return;
 	}
-	finish(call, err, NULL);
+	finish(call, err, NULL, 0);
 }
 
 static const struct http_events events = { .done = on_done };
@@ -156,7 +182,7 @@
 	call->url_index = link->current;
 	call->n_attempts++;
 	link->calls++;
-	http_start(link->http, &request, &events, call);
+	call->http = http_start(link->http, &request, &events, call);
 	g_free(url);
 }
 
--- a/packages/transport/src/store_watch.c
+++ b/packages/transport/src/store_watch.c
@@ -14,6 +14,9 @@
 	struct store_link *link;
 	struct http_call *call; /* NULL: ended */
 	unsigned url_index; /* index of its URL */
+	uint64_t from_revision;
+	uint64_t era; /* of the stream */
+	bool has_era; /* it was read from the header */
 	const struct store_watch_events *events;
 	void *ctx;
 	uv_timer_t timer;
@@ -103,7 +106,7 @@
 	GArray *kvs = store_kvs_create();
 	struct store_kv kv;
 
-	if (store_body_kv(o, &kv)) {
+	if (store_body_kv(o, w->era, &kv)) {
 		kv.removed =
 			!g_strcmp0(json_object_get_string_member_with_default(
 					   event, "type", "PUT"),
@@ -141,6 +144,27 @@
 	end(w, &err);
 }
 
+/* What the watch would go on from is gone. */
+static void end_returned(struct watch *w)
+{
+	struct err err;
+
+	err_set(&err, ERR_STORE_COMPACTED,
+		"the store came back from an older copy");
+	end(w, &err);
+}
+
+/* A store whose revisions ran back under an open watch came back as well. */
+static void read_progress(struct watch *w, JsonObject *result)
+{
+	uint64_t revision = store_body_revision(result, w->era);
+
+	if (revision + 1 < w->from_revision)
+		end_returned(w);
+	else
+		w->events->progress(w->ctx, revision);
+}
+
 static void read_result(struct watch *w, JsonObject *result)
 {
 	JsonNode *events = json_object_get_member(result, "events");
@@ -150,7 +174,7 @@
 	else if (events && JSON_NODE_HOLDS_ARRAY(events))
 		deliver_events(w, json_node_get_array(events));
 	else if (!store_body_bool(result, "created"))
-		w->events->progress(w->ctx, store_body_revision(result));
+		read_progress(w, result);
 }
 
 static void read_line(struct watch *w, struct str line)
@@ -194,11 +218,31 @@
 	g_string_erase(w->line, 0, (gssize)start);
 }
 
+/* False: the stream is of another era than the watch, which has ended. */
+static bool check_era(struct watch *w)
+{
+	struct err err = { 0 };
+
+	if (w->has_era)
+		return true;
+	w->has_era = true;
+	if (!store_link_read_era(w->link, w->call, &w->era, &err)) {
+		end(w, &err);
+		return false;
+	}
+	if (w->era == kv_stamp_era(w->from_revision))
+		return true;
+	end_returned(w);
+	return false;
+}
+
 static void on_data(void *ctx, struct str part)
 {
 	struct watch *w = ctx;
 	struct err err;
 
+	if (!check_era(w))
+		return;
 	w->refs++;
 	g_string_append_len(w->line, part.data, (gssize)part.len);
 	read_lines(w);
@@ -261,6 +305,7 @@
 	w->url_index = link->current;
 	w->events = events;
 	w->ctx = ctx;
+	w->from_revision = target->from_revision;
 	w->line = g_string_new(NULL);
 	w->silence_timeout_us = target->silence_timeout_us;
 	w->last_line_at_us = now_us();
--- a/packages/transport/tests/test_store.c
+++ b/packages/transport/tests/test_store.c
@@ -1,5 +1,6 @@
 #include "support_store.h"
 
+#include <celeryquay/transport/kv_stamp.h>
 #include <check.h>
 #include <glib/gstdio.h>
 #include <unistd.h>
@@ -113,6 +114,40 @@
  * report an unknown outcome and must not be retried without the user's
  * knowledge. The user reads the key and finds its change id there.
  */
+/* The store comes back from a copy of its first revision. */
+static void restore_first(void)
+{
+	store_rig_control("/restore", "{\"revision\": 1}");
+}
+
+/* Fails if a revision given out again is taken for the one before. */
+START_TEST(revisions_of_a_new_era_are_higher)
+{
+	uint64_t first = rig_put(KEY, 0, "1"), again;
+
+	restore_first();
+	again = rig_put(KEY, 0, "2");
+	ck_assert_uint_gt(again, first);
+	ck_assert_uint_eq(kv_stamp_revision(again), kv_stamp_revision(first));
+	rig_get(KEY);
+	ck_assert_uint_eq(store_rig.got.mod_revision, again);
+}
+END_TEST
+
+/* Fails if a write goes through on a revision that was given out again. */
+START_TEST(a_write_on_a_revision_of_an_earlier_era_is_refused)
+{
+	uint64_t first = rig_put(KEY, 0, "1");
+
+	restore_first();
+	rig_put(KEY, 0, "2");
+	rig_cas(KEY, first, "3");
+	ck_assert_int_eq(store_rig.got.err.code, 0);
+	ck_assert(!store_rig.got.took_effect);
+	ck_assert_str_eq(store_rig.got.value, "2");
+}
+END_TEST
+
 START_TEST(a_write_whose_answer_is_lost_has_an_unknown_outcome)
 {
 	rig_put(KEY, 0, "{\"change\":\"a\"}");
@@ -213,6 +248,8 @@
 	tcase_add_test(t, a_key_is_created_changed_and_removed);
 	tcase_add_test(
 		t, of_two_concurrent_changes_the_second_gets_the_stored_value);
+	tcase_add_test(t, revisions_of_a_new_era_are_higher);
+	tcase_add_test(t, a_write_on_a_revision_of_an_earlier_era_is_refused);
 	tcase_add_test(t, a_range_has_only_keys_with_the_prefix);
 	tcase_add_test(t, a_long_range_is_read_in_pages);
 	tcase_add_test(t, a_write_whose_answer_is_lost_has_an_unknown_outcome);
--- a/packages/transport/tests/test_store_watch.c
+++ b/packages/transport/tests/test_store_watch.c
@@ -165,6 +165,20 @@
 }
 END_TEST
 
+/* Fails if a watch goes on from a revision of an earlier era. */
+START_TEST(a_watch_from_an_earlier_era_ends_like_a_compacted_one)
+{
+	uint64_t first = rig_put(PREFIX "a", 0, "1");
+
+	store_rig_control("/restore", "{\"revision\": 1}");
+	rig_put(PREFIX "b", 0, "1");
+	watch(first + 1, TIMEOUT_US);
+	loop_until(&store_rig.loop, has_ended, NULL);
+	ck_assert_int_eq(seen.ended.code, ERR_STORE_COMPACTED);
+	ck_assert_uint_eq(seen.events->len, 0);
+}
+END_TEST
+
 START_TEST(a_watch_ends_with_an_outage)
 {
 	watch(1, TIMEOUT_US);
@@ -248,6 +262,8 @@
 	tcase_add_test(t, a_watch_without_progress_notices_ends);
 	tcase_add_test(t,
 		       a_watch_from_a_compacted_revision_ends_with_that_error);
+	tcase_add_test(t,
+		       a_watch_from_an_earlier_era_ends_like_a_compacted_one);
 	tcase_add_test(t, a_watch_ends_with_an_outage);
 	tcase_add_test(t, a_watch_of_a_store_without_leader_ends);
 	tcase_add_test(t, destroy_works_with_calls_and_a_watch_open);
--- a/tests/system/test_store.c
+++ b/tests/system/test_store.c
@@ -266,10 +266,85 @@
 }
 END_TEST
 
+static int64_t store_revision(struct cluster *c)
+{
+	return standin_number(c, c->store_control, "revision");
+}
+
+static void restore(struct cluster *c, int64_t revision)
+{
+	char *body = g_strdup_printf("{\"revision\":%" G_GINT64_FORMAT "}",
+				     revision);
+
+	control(c, c->store_control, "/restore", body);
+	g_free(body);
+}
+
+/* Whether the store holds the profile "a". */
+static bool has_lost_item(void *user)
+{
+	struct cluster *c = user;
+	char *key64 = g_base64_encode((const guchar *)PREFIX "profile/a",
+				      strlen(PREFIX "profile/a"));
+	char *body = g_strdup_printf("{\"key\":\"%s\"}", key64);
+	struct http_call call = { .body = body, .timeout_ms = 5000 };
+	struct http_reply reply = { 0 };
+	bool has;
+
+	http_call(c->http, c->store_port, "/v3/kv/range", &call, &reply);
+	has = reply.json && json_object_has_member(reply.json, "kvs");
+	http_reply_clear(&reply);
+	g_free(body);
+	g_free(key64);
+	return has;
+}
+
+/* Fails if what is written under revisions given out again is ignored. */
+START_TEST(changes_after_a_return_of_the_store_are_in_force)
+{
+	struct cluster *c = start(false);
+	int64_t copy;
+	unsigned i;
+
+	put_profile(c, "a", 1001);
+	must_come_in_force(c, 3, "a", 1001);
+	copy = store_revision(c);
+	for (i = 0; i < 10; i++)
+		put_profile(c, "a", 2000 + i);
+	must_come_in_force(c, 3, "a", 2009);
+	restore(c, copy);
+	put_profile(c, "a", 3001);
+	must_come_in_force(c, 3, "a", 3001);
+	put_profile(c, "b", 3002);
+	must_come_in_force(c, 3, "b", 3002);
+	cluster_destroy(c);
+}
+END_TEST
+
+/* Fails if an item that was confirmed is gone with the store's return. */
+START_TEST(a_lost_item_is_written_again)
+{
+	struct cluster *c = start(false);
+	int64_t copy = store_revision(c);
+
+	put_profile(c, "a", 1001);
+	must_come_in_force(c, 3, "a", 1001);
+	restore(c, copy);
+	/* Comes in force only after the return was noticed. */
+	put_profile(c, "b", 3002);
+	must_come_in_force(c, 3, "b", 3002);
+	must_come_in_force(c, 3, "a", 1001);
+	ck_assert(wait_until(has_lost_item, c));
+	cluster_destroy(c);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
 		silent_watches_hold_no_change_back,
+		changes_after_a_return_of_the_store_are_in_force,
+		a_lost_item_is_written_again,
 		changes_of_a_long_outage_are_caught_up_after_compaction,
 		replayed_events_revert_nothing,
 		node_that_was_cut_off_catches_up_and_reverts_nothing,
