--- a/packages/cli/src/explain.c
+++ b/packages/cli/src/explain.c
@@ -30,6 +30,7 @@
 	{ "stopped", "life", NULL },
 	{ "store-lost", "store", NULL },
 	{ "store-back", "store", NULL },
+	{ "store-returned", "store", NULL },
 	{ "config", "config", NULL },
 	{ "config-left-aside", "config-left-aside", NULL },
 	{ "proxies", "proxies", NULL },
