relay: a start in a later era of the store delays claims only

A proxy that starts after the store has ever come back can't know whether that was just now, so it makes no claim for claim_hold_ms. It also took another's claim as just seen, as on a return under way. That has no use at a start: the servers are in doubt as newly listed anyway, and a service of one server would not be relied on for 5 s after each start, for as long as the store exists. relay_test_store_return passes (6 of 6).

--- a/packages/relay/src/duty.c
+++ b/packages/relay/src/duty.c
@@ -57,16 +57,23 @@
 	r->ops->claim(r->ctx, r->duty_revision);
 }
 
+/* The store may have forgotten a claim: this proxy makes none for a while. */
+void rduty_await_forgotten(struct relay *r, uint64_t now_us)
+{
+	if (r->guards.expect_forgotten)
+		r->store_returned_at_us = now_us;
+}
+
 /*
  * The store may have forgotten any claim. This proxy's own is not used any
  * more, and another's counts as made just now: its promotion may take effect.
  */
 void rduty_on_store_returned(struct relay *r, uint64_t now_us)
 {
+	rduty_await_forgotten(r, now_us);
 	if (!r->guards.expect_forgotten)
 		return;
 	r->token = 0;
-	r->store_returned_at_us = now_us;
 	r->duty_changed_at_us = now_us;
 	r->duty_others_seen_at_us = now_us;
 	r->duty_others_claimed_at_us = now_us;
--- a/packages/relay/src/relay.c
+++ b/packages/relay/src/relay.c
@@ -295,11 +295,13 @@
 void relay_on_store_era(struct relay *r, uint64_t era, bool returned,
 			uint64_t now_us)
 {
-	if (returned)
-		log_returned(r, era, now_us);
 	rmetrics_store_era(r, era, returned);
-	if (returned || era > FIRST_ERA)
+	if (returned) {
+		log_returned(r, era, now_us);
 		rduty_on_store_returned(r, now_us);
+	} else if (era > FIRST_ERA) {
+		rduty_await_forgotten(r, now_us);
+	}
 }
 
 /* Sets the age of what is known, but not whether the store answers. */
--- a/packages/relay/src/relay_internal.h
+++ b/packages/relay/src/relay_internal.h
@@ -458,7 +458,7 @@
 	uint64_t duty_others_seen_at_us;
 	/* The same, not counting the record as first read; 0: never. */
 	uint64_t duty_others_claimed_at_us;
-	/* The store came back from an older copy at this time, 0: never. */
+	/* Since then a claim that the store has forgotten may be in use. */
 	uint64_t store_returned_at_us;
 	bool claiming; /* a claim awaits its answer */
 	uint64_t claimed_at_us; /* start of the claim that gave `token` */
@@ -724,6 +724,7 @@
 bool rduty_is_held_elsewhere(const struct relay *r, uint64_t now_us);
 bool rduty_is_claim_valid(const struct relay *r, uint64_t now_us);
 void rduty_claim(struct relay *r, uint64_t now_us);
+void rduty_await_forgotten(struct relay *r, uint64_t now_us);
 void rduty_on_store_returned(struct relay *r, uint64_t now_us);
 
 /* cleanup.c */
