relay: a paused replica that has ended is not waited for

Cause: after its fence a change of primary asks each paused server to report its pause again, since one that started anew has forgotten it. It asked one whose process had ended, too, gave up after 2.5 s with "a paused server is silent", and the next proxy's change began in a higher term, in which the dead server isn't paused: "the old primary could not be fenced", until it was given up 5.5 s after it left the list.

A paused server that refuses connections is no longer waited for. If its process has ended, whoever comes back there is in doubt at every proxy, and this one makes its fence anew; if it refuses this proxy alone, it is still paused.

--- a/packages/relay/src/fence.c
+++ b/packages/relay/src/fence.c
@@ -113,7 +113,9 @@
 /*
  * Whether each paused server has reported its pause again since all of them
  * were paused. One that has not answered since may have restarted without its
- * pause.
+ * pause. One that refuses connections is not waited for: if its process has
+ * ended, every proxy has it in doubt when it comes back, and if only this proxy
+ * is refused, its pause stands.
  */
 bool rfence_pauses_reported_again(const struct rservice *v)
 {
@@ -124,7 +126,8 @@
 	for (i = 0; i < v->servers->len; i++) {
 		const struct rserver *s = rservice_server(v, i);
 
-		if (is_paused(v, s) && s->status_at_us < v->fenced_at_us)
+		if (is_paused(v, s) && !s->refused && !s->moved &&
+		    s->status_at_us < v->fenced_at_us)
 			return false;
 	}
 	return true;
--- a/packages/relay/tests/test_returns.c
+++ b/packages/relay/tests/test_returns.c
@@ -8,6 +8,8 @@
  */
 
 #define FREEZE_US (6 * USEC_PER_SEC)
+/* How long a service may be without a primary. */
+#define CHANGE_MAX_US (7 * USEC_PER_SEC)
 
 static struct fake *start(uint32_t seed)
 {
@@ -120,6 +122,47 @@
 	return scenario_finish(f);
 }
 
+/*
+ * The primary goes silent, and once its replicas are paused one of them ends
+ * for good. How long the service has no primary, in us.
+ */
+static uint64_t change_in_which_a_paused_replica_ends(struct fake *f)
+{
+	uint64_t silent_us = f->now_us;
+
+	f->servers[0].dark = true;
+	scenario_run_until(f, PHASE_LEASE_EXPIRY);
+	fake_run(f, fake_random(f, 0, 300) * MS);
+	fake_crash(f, 1);
+	f->servers[1].replaced = true;
+	while (!f->n_promotions && f->now_us < silent_us + 20 * USEC_PER_SEC)
+		fake_run(f, MS);
+	return f->now_us - silent_us;
+}
+
+static char *paused_replica_that_ends(uint32_t seed)
+{
+	struct fake *f = start(seed);
+
+	change_in_which_a_paused_replica_ends(f);
+	return scenario_finish(f);
+}
+
+static char *paused_replica_that_restarts(uint32_t seed)
+{
+	struct fake *f = start(seed);
+
+	f->servers[0].dark = true;
+	scenario_run_until(f, PHASE_LEASE_EXPIRY);
+	fake_run(f, fake_random(f, 0, 300) * MS);
+	fake_crash(f, 1);
+	fake_run(f, fake_random(f, 0, 1000) * MS);
+	f->servers[0].dark = false;
+	fake_restart_at_once(f, 1, true);
+	fake_run(f, 6 * USEC_PER_SEC);
+	return scenario_finish(f);
+}
+
 /*
  * A proxy is suspended while its promotion is under way. Another one claims the
  * duty, pauses the replicas again and sees the old primary come back. Guards
@@ -163,6 +206,30 @@
 }
 END_TEST
 
+/* Fails if a change gives up because a paused replica has ended. */
+START_TEST(test_a_paused_replica_that_ends_is_not_waited_for)
+{
+	uint32_t seed;
+
+	for (seed = 0; seed < SCENARIO_SEEDS; seed++) {
+		struct fake *f = start(seed);
+		uint64_t us = change_in_which_a_paused_replica_ends(f);
+
+		ck_assert_msg(us <= CHANGE_MAX_US, "seed %u: %u ms", seed,
+			      (unsigned)(us / MS));
+		fake_destroy(f);
+	}
+	scenario_check_guarantees(paused_replica_that_ends);
+}
+END_TEST
+
+/* Fails if such a replica comes back and confirms the old primary. */
+START_TEST(test_a_paused_replica_that_restarts_confirms_nothing)
+{
+	scenario_check_guarantees(paused_replica_that_restarts);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("returns");
@@ -170,6 +237,9 @@
 	tcase_add_test(tc, test_an_own_pause_beside_anothers_promotion);
 	tcase_add_test(tc, test_a_replica_that_is_relisted);
 	tcase_add_test(tc, test_a_lone_primary_without_the_store);
+	tcase_add_test(tc, test_a_paused_replica_that_ends_is_not_waited_for);
+	tcase_add_test(tc,
+		       test_a_paused_replica_that_restarts_confirms_nothing);
 	tcase_add_test(tc, test_a_target_that_restarts);
 	return suite_main("returns", tc);
 }
