--- a/packages/standin/src/control_http.c
+++ b/packages/standin/src/control_http.c
@@ -9,6 +9,7 @@
 			 LOG_MODULE, "MESSAGE", __VA_ARGS__)
 
 #define LISTEN_BACKLOG 512
+#define NUMBER_TEXT_MAX 24 /* bytes of any 64-bit number in text */
 /*
  * h2o closes an idle connection after 10 s, and a call that is sent at that
  * moment fails: a failure that no test has asked for.
@@ -157,6 +158,21 @@
 			 path, strlen(path));
 }
 
+/*
+ * Adds a header with a number to the answer. `name` is lower-case and not
+ * copied.
+ */
+void control_http_add_number(h2o_req_t *req, const char *name, uint64_t number)
+{
+	char text[NUMBER_TEXT_MAX];
+	h2o_iovec_t value;
+
+	g_snprintf(text, sizeof(text), "%" G_GUINT64_FORMAT, number);
+	value = h2o_strdup(&req->pool, text, SIZE_MAX);
+	h2o_add_header_by_str(&req->pool, &req->res.headers, name, strlen(name),
+			      0, NULL, value.base, value.len);
+}
+
 /*
  * Sends the node (NULL means {}) as the whole answer and frees it.
  */
--- a/packages/standin/src/control_http.h
+++ b/packages/standin/src/control_http.h
@@ -50,6 +50,7 @@
 void control_http_set_refusing(struct control_http *http, bool refusing);
 
 JsonNode *control_http_parse(const h2o_req_t *req);
+void control_http_add_number(h2o_req_t *req, const char *name, uint64_t number);
 void control_http_answer(h2o_req_t *req, unsigned status, JsonNode *node);
 void control_http_drop(struct control_http *http, h2o_req_t *req);
 void control_http_cut(struct control_http *http, h2o_req_t *req);
--- a/packages/standin/src/store_front.c
+++ b/packages/standin/src/store_front.c
@@ -9,7 +9,7 @@
 
 #define WATCH_PATH "/v3/watch"
 #define REAP_TICKS 20
-#define ERA_TEXT_MAX 24
+#define ERA_HEADER "store-era"
 
 /*
  * A request whose answer is held back: either it hasn't been run (hang), or
@@ -113,19 +113,6 @@
 		control_http_answer(req, status, answer);
 }
 
-/* The era in which the request is run. */
-static void add_era(struct store *store, h2o_req_t *req)
-{
-	char text[ERA_TEXT_MAX];
-	h2o_iovec_t value;
-
-	g_snprintf(text, sizeof(text), "%" G_GUINT64_FORMAT, store->era);
-	value = h2o_strdup(&req->pool, text, SIZE_MAX);
-	h2o_add_header_by_str(&req->pool, &req->res.headers,
-			      H2O_STRLIT("store-era"), 0, NULL, value.base,
-			      value.len);
-}
-
 static void run_request(struct store *store, h2o_req_t *req)
 {
 	const struct store_call *call = store_find_call(
@@ -133,7 +120,7 @@
 	struct store_error error = { 0 };
 	JsonNode *body = control_http_parse(req);
 
-	add_era(store, req);
+	control_http_add_number(req, ERA_HEADER, store->era);
 	store->kv.now_us = store_now_us();
 	if (!body)
 		store_fail(&error, STORE_INVALID_ARGUMENT,
@@ -180,7 +167,7 @@
 		run_request(store, req);
 		break;
 	case OUTAGE_UNAVAILABLE:
-		add_era(store, req);
+		control_http_add_number(req, ERA_HEADER, store->era);
 		store_fail(&error, STORE_UNAVAILABLE, "etcdserver: no leader");
 		answer_error(req, &error);
 		break;
--- a/tests/soak/store.c
+++ b/tests/soak/store.c
@@ -11,7 +11,6 @@
 #define LOSE_ONE_IN 3
 #define HISTORY 4000 /* events; more than a run has */
 #define FIRST_REVISION 1000
-#define ERA_DIGITS_MAX 24
 /* After a return: what was written is written again, what has gone lapses. */
 #define REWRITE_MAX_MS 2000
 #define LAPSE_US (3600 * MS) /* three heartbeats of silence */
@@ -470,26 +469,14 @@
 		json_node_unref(body);
 }
 
-static void add_era(struct call *c)
-{
-	char text[ERA_DIGITS_MAX];
-	h2o_iovec_t value;
-
-	g_snprintf(text, sizeof(text), "%" G_GUINT64_FORMAT,
-		   c->has_run ? c->era : c->store->era);
-	value = h2o_strdup(&c->req->pool, text, SIZE_MAX);
-	h2o_add_header_by_str(&c->req->pool, &c->req->res.headers,
-			      H2O_STRLIT("store-era"), 0, NULL, value.base,
-			      value.len);
-}
-
 static void finish(struct call *c, bool lost)
 {
 	if (lost) {
 		control_http_drop(c->store->http, c->req);
 		g_clear_pointer(&c->answer, json_node_unref);
 	} else {
-		add_era(c);
+		control_http_add_number(c->req, "store-era",
+					c->has_run ? c->era : c->store->era);
 		control_http_answer(c->req, c->status, c->answer);
 	}
 	g_free(c);
