--- a/packages/transport/tests/test_kv_return.c
+++ b/packages/transport/tests/test_kv_return.c
@@ -56,7 +56,7 @@
 }
 END_TEST
 
-static bool follower_lost_store(void *ctx)
+static bool watcher_lost_store(void *ctx)
 {
 	(void)ctx;
 	return rig.watcher.n_store_failed > 0;
@@ -73,7 +73,7 @@
 	kv_rig_put("servers/a", "lost");
 	kv_rig_expect("servers/a", "lost");
 	kv_rig_store(KV_RIG_REFUSES);
-	loop_until(&rig.loop, follower_lost_store, NULL);
+	loop_until(&rig.loop, watcher_lost_store, NULL);
 	kv_rig_restore();
 	kv_rig_put("op/config", "two");
 	for (i = 0; i < 5; i++)
@@ -124,10 +124,7 @@
 }
 END_TEST
 
-/*
- * Fails if a watcher tells its followers only of the lost keys that it knew
- * itself.
- */
+/* Fails if followers hear only of the lost keys that their watcher knew. */
 START_TEST(a_follower_that_knew_more_than_its_watcher)
 {
 	kv_rig_start();
@@ -170,10 +167,7 @@
 }
 END_TEST
 
-/*
- * Fails if a key that its writer writes again right after the return is
- * reported as gone meanwhile.
- */
+/* Fails if a key that its writer soon writes again is reported as gone. */
 START_TEST(a_key_that_is_written_again_does_not_go)
 {
 	kv_rig_start();
