--- a/bench/bench_relay_fleet.c
+++ b/bench/bench_relay_fleet.c
@@ -124,7 +124,7 @@
 			.port = 1,
 			.zone = zone_of(i),
 			.feed_port = 2,
-			.mbps = i % 16 ? 20 : 1000,
+			.capacity.mbps = i % 16 ? 20 : 1000,
 		};
 }
 
--- a/bench/bench_store_return.c
+++ b/bench/bench_store_return.c
@@ -308,7 +308,7 @@
 		infos[i].host = "127.0.0.1";
 		infos[i].zone = (char *)zones[i % ZONES];
 		infos[i].feed_port = 1;
-		infos[i].mbps = i < ZONES ? 200 : 20;
+		infos[i].capacity.mbps = i < ZONES ? 200 : 20;
 	}
 	for (i = 0; i < n; i++) {
 		struct proxy *p = &f->proxies[i];
--- a/packages/core/include/celeryquay/core/homes.h
+++ b/packages/core/include/celeryquay/core/homes.h
@@ -33,5 +33,7 @@
  */
 uint64_t homes_seed(const struct database_conf *db);
 uint64_t homes_score(uint64_t seed, const char *name);
+/* A candidate of weight w wins against one of weight 1 with odds of w to 1. */
+uint64_t homes_weighted_score(uint64_t seed, const char *name, unsigned weight);
 
 #endif
--- a/packages/core/src/homes.c
+++ b/packages/core/src/homes.c
@@ -86,6 +86,12 @@
 	return XXH3_64bits_withSeed(db->name, strlen(db->name), seed);
 }
 
+/* The score of a candidate of that weight. */
+uint64_t homes_weighted_score(uint64_t seed, const char *name, unsigned weight)
+{
+	return highest_score(seed, name, weight);
+}
+
 /* The score of a candidate that no server is near. */
 uint64_t homes_score(uint64_t seed, const char *name)
 {
--- a/packages/daemon/src/relay_node.c
+++ b/packages/daemon/src/relay_node.c
@@ -262,6 +262,23 @@
 			     (unsigned)(GONE_AFTER_MARGIN_US / USEC_PER_MSEC));
 }
 
+static bool read_pooling(struct settings *s, enum splace_pooling *out,
+			 struct err *err)
+{
+	char *word = NULL;
+	bool ok;
+
+	if (!settings_str(s, "home_pooling", "auto", &word, err))
+		return false;
+	ok = splace_pooling_parse(word, out) ||
+	     settings_fail(s, "home_pooling", err,
+			   "expected \"auto\", \"on\" or \"off\", got "
+			   "\"%s\"",
+			   word);
+	g_free(word);
+	return ok;
+}
+
 static bool read_relay(struct relay_node *n, struct settings *s,
 		       struct err *err)
 {
@@ -274,6 +291,7 @@
 	n->settings.name = n->name;
 	n->settings.zone = n->zone;
 	return read_times(s, &n->settings, err) &&
+	       read_pooling(s, &n->settings.home_pooling, err) &&
 	       check_times(s, &n->settings, err) &&
 	       settings_reject_unknown(s, err);
 }
--- a/packages/relay/include/celeryquay/relay/relay.h
+++ b/packages/relay/include/celeryquay/relay/relay.h
@@ -15,6 +15,7 @@
 #include <celeryquay/base/counter.h>
 #include <celeryquay/relay/catalog.h>
 #include <celeryquay/relay/statement.h>
+#include <celeryquay/sched/placement.h>
 
 struct relay;
 
@@ -45,7 +46,7 @@
 	 * contents from it, 0: none.
 	 */
 	uint16_t feed_port;
-	unsigned mbps; /* bandwidth of its network link, 0: unknown */
+	struct splace_capacity capacity; /* of a proxy */
 };
 
 struct relay_ops {
@@ -102,6 +103,9 @@
 	unsigned warm_connections; /* kept open at each server */
 	uint64_t drain_us; /* in a stop, transactions may go on this long */
 	bool accounts; /* callers need the key of a client account */
+	struct splace_capacity capacity; /* of this proxy */
+	/* Whether one home of a service runs all its statements. */
+	enum splace_pooling home_pooling;
 	/*
 	 * Keys are accepted only if the proxy knows what the store had less
 	 * than this ago, since a key may have been revoked. 0: no limit.
--- a/packages/relay/src/conn.c
+++ b/packages/relay/src/conn.c
@@ -6,6 +6,8 @@
  */
 #define LOG_MODULE "conn"
 #include "relay_internal.h"
+#include "scheduler.h"
+#include "wait.h"
 
 #include <celeryquay/base/log.h>
 
@@ -227,6 +229,26 @@
 	       now_us < r->started_us + START_PERIOD_US;
 }
 
+/* Connections to the server that other proxies had when it last said so. */
+static unsigned others_conns(const struct rserver *s)
+{
+	return s->status.connections > s->status_own_conns ?
+		       s->status.connections - s->status_own_conns :
+		       0;
+}
+
+/*
+ * Whether a home of a service whose homes are pooled may open one more. The
+ * first one needs nearly all, and the others some when they take over from it.
+ */
+static bool may_open_pooled(const struct rserver *s, unsigned limit)
+{
+	unsigned reserve = splace_connection_reserve(
+		limit, s->service->rank.n_ranked_before);
+
+	return s->n_conns + others_conns(s) + reserve < limit;
+}
+
 /*
  * Whether one more connection may be opened. The server's limit holds for all
  * proxies together. Above half of it each proxy keeps to MAX_CONNS_ABOVE_HALF,
@@ -243,6 +265,8 @@
 		return false;
 	if (!limit || s->n_conns < s->relay->settings.warm_connections)
 		return true;
+	if (s->service->pooled)
+		return may_open_pooled(s, limit);
 	if (there + MIN_FREE_CONNS > limit)
 		return false;
 	if (may_fill_server(s, now_us))
@@ -516,7 +540,7 @@
 		log_open_refused(s, answer);
 		s->heard_us = now_us;
 		remove_conn(c);
-		rrun_dispatch(r, now_us);
+		rwait_dispatch(r, now_us);
 		return;
 	}
 	c->opened_us = now_us;
@@ -527,7 +551,7 @@
 	rconn_release(c, now_us);
 	rserver_tick(s, now_us);
 	rlimit_request_all(r, now_us);
-	rrun_dispatch(r, now_us);
+	rwait_dispatch(r, now_us);
 }
 
 /* Updates the server's load figures from an answer to a caller's statement. */
@@ -542,6 +566,8 @@
 	if (s->service->peers)
 		return;
 	routlier_on_answer(&s->outlier, code, now_us);
+	if (c->session)
+		rsched_on_answer(c->session, s, took_us, now_us);
 	if (c->session)
 		profile = relay_catalog_profile(c->relay->catalog,
 						c->session->database);
@@ -578,7 +604,7 @@
 		rlimit_on_answer(c, answer, now_us);
 	else
 		rrun_on_answer(c, step, answer, now_us);
-	rrun_dispatch(r, now_us);
+	rwait_dispatch(r, now_us);
 }
 
 /* Handles a connection that broke or could not be opened. */
@@ -612,5 +638,5 @@
 		rrun_on_lost(session, s, false, now_us);
 	rserver_tick(s, now_us);
 	rlimit_request_all(r, now_us);
-	rrun_dispatch(r, now_us);
+	rwait_dispatch(r, now_us);
 }
--- a/packages/relay/src/failover.c
+++ b/packages/relay/src/failover.c
@@ -15,7 +15,7 @@
  *   reports that it is primary.
  */
 #define LOG_MODULE "change"
-#include "relay_internal.h"
+#include "homes.h"
 
 #include <celeryquay/base/log.h>
 
--- a/packages/relay/src/feed_source.c
+++ b/packages/relay/src/feed_source.c
@@ -196,8 +196,8 @@
 
 	if (zone)
 		return zone;
-	if (x->info->mbps != y->info->mbps)
-		return x->info->mbps > y->info->mbps ? -1 : 1;
+	if (x->info->capacity.mbps != y->info->capacity.mbps)
+		return x->info->capacity.mbps > y->info->capacity.mbps ? -1 : 1;
 	if (x->hash != y->hash)
 		return x->hash > y->hash ? -1 : 1;
 	return strcmp(x->info->id, y->info->id);
@@ -303,7 +303,7 @@
 {
 	struct relay_server_info self = { .id = f->name,
 					  .zone = f->zone,
-					  .mbps = f->mbps };
+					  .capacity.mbps = f->mbps };
 	bool was_watcher = f->is_watcher, was_shared = f->is_shared;
 
 	f->is_shared = f->proxies->len + 1 > DIRECT_MAX_PROXIES;
@@ -327,7 +327,7 @@
 	g_ptr_array_set_size(f->proxies, 0);
 	for (i = 0; i < n_infos; i++) {
 		if (!strcmp(infos[i].id, f->name)) {
-			f->mbps = infos[i].mbps;
+			f->mbps = infos[i].capacity.mbps;
 			continue;
 		}
 		copy = g_new(struct relay_server_info, 1);
--- a/packages/relay/src/limit.c
+++ b/packages/relay/src/limit.c
@@ -8,6 +8,7 @@
  * others are asked, and when none has tokens, callers are refused at once.
  */
 #define LOG_MODULE "limit"
+#include "homes.h"
 #include "limit_internal.h"
 
 #include <string.h>
@@ -164,7 +165,7 @@
 	g_snprintf(text, sizeof(text),
 		   "the account is at its limit; come back in %u ms",
 		   (unsigned)(wait_us / USEC_PER_MSEC) + 1);
-	rrun_refuse_rate_limited(s, text, now_us);
+	rrun_fail(s, RELAY_BUSY, text, now_us);
 }
 
 static void refuse_unservable(struct rlimit *l, uint64_t first_at_us,
--- a/packages/relay/src/partition.c
+++ b/packages/relay/src/partition.c
@@ -18,7 +18,7 @@
  * during one leaves the other proxies reachable. In neither case may all
  * proxies refuse callers.
  */
-#include "relay_internal.h"
+#include "homes.h"
 
 /*
  * Statements must have lacked a primary for this long. A crashed primary is
--- a/packages/relay/src/peer.c
+++ b/packages/relay/src/peer.c
@@ -2,7 +2,8 @@
  * The other proxies, as listed in the store.
  */
 #define LOG_MODULE "peer"
-#include "relay_internal.h"
+#include "homes.h"
+#include "wait.h"
 
 #include <celeryquay/base/log.h>
 #include <celeryquay/relay/server_list.h>
@@ -67,8 +68,16 @@
 	g_ptr_array_add(added, p->info.id);
 }
 
+static bool have_equal_capacity(const struct relay_server_info *a,
+				const struct relay_server_info *b)
+{
+	return a->capacity.cpu_permille == b->capacity.cpu_permille &&
+	       a->capacity.mbps == b->capacity.mbps;
+}
+
+/* Sets *reweigh if its capacity changed. */
 static void update_peer(struct relay *r, const struct relay_server_info *info,
-			GPtrArray *added, uint64_t now_us)
+			GPtrArray *added, bool *reweigh, uint64_t now_us)
 {
 	struct rpeer *p = g_hash_table_lookup(r->peers, info->id);
 
@@ -79,6 +88,7 @@
 	p->list = r->n_peer_lists;
 	if (relay_server_info_equal(&p->info, info))
 		return;
+	*reweigh |= !have_equal_capacity(&p->info, info);
 	relay_server_info_replace(&p->info, info);
 	via_on_proxy_changed(r, &p->info, now_us);
 }
@@ -112,6 +122,17 @@
 	}
 }
 
+static void rank_all_anew(struct relay *r)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, r->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (((struct rservice *)value)->pooled)
+			rank_init(value);
+}
+
 static void log_peers(const struct relay *r, const char *event,
 		      unsigned n_others)
 {
@@ -188,16 +209,20 @@
 		       unsigned n, uint64_t now_us)
 {
 	GPtrArray *added = g_ptr_array_new(), *removed = g_ptr_array_new();
+	bool reweigh = false;
 	unsigned i;
 
 	r->n_peer_lists++;
 	for (i = 0; i < n; i++)
 		if (!is_self(r, infos[i].id))
-			update_peer(r, &infos[i], added, now_us);
+			update_peer(r, &infos[i], added, &reweigh, now_us);
 	find_removed(r, removed);
 	update_ranks(r, added, removed);
 	for (i = 0; i < removed->len; i++)
 		g_hash_table_remove(r->peers, g_ptr_array_index(removed, i));
+	reweigh |= rplace_update(r);
+	if (reweigh)
+		rank_all_anew(r);
 	if (added->len || removed->len)
 		r->n_peer_changes++;
 	g_ptr_array_unref(added);
@@ -212,7 +237,7 @@
 	if (role_update_all(r))
 		role_update_served(r);
 	via_update_homes(r, now_us);
-	rrun_dispatch(r, now_us);
+	rwait_dispatch(r, now_us);
 }
 
 static void free_pending_list(struct relay *r)
--- a/packages/relay/src/pick.c
+++ b/packages/relay/src/pick.c
@@ -4,7 +4,7 @@
  * statement would probably take there, plus penalties.
  */
 #define LOG_MODULE "pick"
-#include "relay_internal.h"
+#include "homes.h"
 
 /* Added to a replica's known lag before it is expected to be up to date. */
 #define LAG_MARGIN_US (30 * USEC_PER_MSEC)
@@ -25,6 +25,11 @@
  * counts as unavailable throughout.
  */
 #define MAX_WANTED_GAP_US (500 * USEC_PER_MSEC)
+/*
+ * A server with nothing but outstanding requests is taken to be down after this
+ * silence, which is longer than most statements.
+ */
+#define SILENT_AFTER_US (300 * USEC_PER_MSEC)
 
 static uint64_t cost_us(const struct rserver *s, uint64_t now_us)
 {
@@ -190,6 +195,46 @@
 	return best;
 }
 
+/* Whether it has answered of late, or nothing is outstanding. */
+static bool is_responsive(const struct rserver *s, uint64_t now_us)
+{
+	return s->idle.length || now_us < s->heard_us + SILENT_AFTER_US;
+}
+
+static uint64_t work_left_us(const struct rserver *s, uint64_t cost_us)
+{
+	return (s->n_busy + s->opening.length) * cost_us / 2;
+}
+
+/* Which of the service's slots may run the session's statement. */
+void rpick_room(const struct rsession *s, struct rservice *v, uint64_t cost_us,
+		struct squeue_room *out, uint64_t now_us)
+{
+	const struct relay_profile *profile =
+		relay_catalog_profile(s->relay->catalog, s->database);
+	struct rsample floor = { 0 };
+	bool has_floor = profile && floor_of(s, profile, v, &floor, now_us);
+	unsigned i;
+
+	*out = (struct squeue_room){ 0 };
+	for (i = 0; i < v->servers->len; i++) {
+		struct rserver *server = rservice_server(v, i);
+
+		if (!is_responsive(server, now_us))
+			continue;
+		if (server == v->primary) {
+			if (!primary_may_run(server, now_us))
+				continue;
+			out->primary_slots = MAX(server->info.slots, 1);
+			out->primary_work_us = work_left_us(server, cost_us);
+		} else if (has_floor &&
+			   !replica_blocker(server, &floor, now_us)) {
+			out->replica_slots += MAX(server->info.slots, 1);
+			out->replica_work_us += work_left_us(server, cost_us);
+		}
+	}
+}
+
 /* Finds an idle connection to the chosen server, or starts to open one. */
 void rpick_find_conn(struct rsession *s, struct rpick *out, uint64_t now_us)
 {
@@ -260,7 +305,8 @@
 	v = g_hash_table_lookup(s->relay->services, profile->service);
 	if (!v)
 		return;
-	if (!v->is_home && !s->peer) {
+	if ((!v->is_home && !s->peer) ||
+	    via_is_standby(s, v, profile, now_us)) {
 		via_choose(s, profile, v, out, now_us);
 		return;
 	}
--- a/packages/relay/src/rank.c
+++ b/packages/relay/src/rank.c
@@ -3,9 +3,10 @@
  *
  * This proxy's own rank is kept as the number of proxies before it, which a
  * proxy that is added or removed changes by one at most. The names of the
- * others are computed only for services that are in use.
+ * others are computed only for services that are in use. In services whose
+ * homes are pooled, a proxy counts by its weight.
  */
-#include "relay_internal.h"
+#include "homes.h"
 
 #include <celeryquay/core/homes.h>
 
@@ -18,10 +19,16 @@
 	return strcmp(name, other_name) < 0;
 }
 
+static uint64_t draw_of(const struct rservice *v, const char *name)
+{
+	unsigned weight = v->pooled ? rplace_weight(v->relay, name) : 1;
+
+	return homes_weighted_score(v->rank.seed, name, weight);
+}
+
 static bool is_before_self(const struct rservice *v, const char *name)
 {
-	return is_before(homes_score(v->rank.seed, name), name, v->rank.draw,
-			 v->relay->name);
+	return is_before(draw_of(v, name), name, v->rank.draw, v->relay->name);
 }
 
 /* Ranks this proxy among those that are listed now. */
@@ -32,7 +39,7 @@
 	gpointer name;
 
 	v->rank.seed = homes_seed(&conf);
-	v->rank.draw = homes_score(v->rank.seed, v->relay->name);
+	v->rank.draw = draw_of(v, v->relay->name);
 	v->rank.n_ranked_before = 0;
 	g_hash_table_iter_init(&iter, v->relay->peers);
 	while (g_hash_table_iter_next(&iter, &name, NULL))
@@ -94,7 +101,7 @@
 	g_hash_table_iter_init(&iter, v->relay->peers);
 	while (g_hash_table_iter_next(&iter, &name, NULL)) {
 		p.name = name;
-		p.draw = homes_score(v->rank.seed, name);
+		p.draw = draw_of(v, name);
 		n = insert_best(best, n, max, p);
 	}
 	for (i = 0; i < n; i++)
--- a/packages/relay/src/registry.c
+++ b/packages/relay/src/registry.c
@@ -3,7 +3,8 @@
  * them.
  */
 #define LOG_MODULE "listed"
-#include "relay_internal.h"
+#include "homes.h"
+#include "wait.h"
 
 #include <string.h>
 
@@ -183,5 +184,5 @@
 			s = add_server(r, &infos[i], now_us);
 		rserver_tick(s, now_us);
 	}
-	rrun_dispatch(r, now_us);
+	rwait_dispatch(r, now_us);
 }
--- a/packages/relay/src/relay.c
+++ b/packages/relay/src/relay.c
@@ -3,7 +3,9 @@
  * tick.
  */
 #define LOG_MODULE "relay"
-#include "relay_internal.h"
+#include "homes.h"
+#include "scheduler.h"
+#include "wait.h"
 
 #include <celeryquay/base/log.h>
 #include <string.h>
@@ -92,6 +94,7 @@
 	r->sessions = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					    rsession_destroy);
 	r->peers = peers_table_new();
+	r->place = rplace_create(settings);
 	r->knows_fleet = true; /* until the first list of proxies */
 	r->served = g_ptr_array_new();
 	r->active = g_ptr_array_new();
@@ -136,6 +139,7 @@
 	peers_clear(r);
 	g_ptr_array_unref(r->active);
 	feed_source_destroy(r->feed_source);
+	rplace_destroy(r->place);
 	relay_catalog_unref(r->catalog);
 	rmetrics_destroy(r->metrics);
 	g_free(r->duty_holder);
@@ -199,7 +203,7 @@
 	configure_services(r);
 	peers_on_catalog(r, now_us);
 	rlimit_on_catalog(r, now_us);
-	rrun_dispatch(r, now_us);
+	rwait_dispatch(r, now_us);
 }
 
 /*
@@ -435,7 +439,8 @@
 		rfailover_tick(g_ptr_array_index(r->served, i), now_us);
 	tick_sessions(r, now_us);
 	rlimit_tick(r, now_us);
-	rrun_dispatch(r, now_us);
+	rsched_tick(r, now_us);
+	rwait_dispatch(r, now_us);
 }
 
 /* Latest time of the next relay_tick(). */
--- a/packages/relay/src/relay_internal.h
+++ b/packages/relay/src/relay_internal.h
@@ -20,6 +20,9 @@
 #include <celeryquay/core/retry.h>
 #include <celeryquay/relay/feed_source.h>
 #include <celeryquay/relay/relay.h>
+#include <celeryquay/sched/admission.h>
+#include <celeryquay/sched/placement.h>
+#include <celeryquay/sched/queue.h>
 
 #define NEVER_US UINT64_MAX
 #define TICK_US (20 * USEC_PER_MSEC)
@@ -133,12 +136,14 @@
 	uint64_t refused_until_us; /* avoided until then: it refused one */
 	/* A proxy: when it last answered that it is cut off; 0: never. */
 	uint64_t cut_off_us;
+	struct splace_home home; /* a proxy: whether it may be preferred */
 
 	struct position applied; /* the newest position that it reported */
 	uint64_t lag_seen_at_us; /* when it last lacked what a read must see */
 	uint64_t lag_us; /* upper bound of its lag, NEVER_US: unknown */
 	struct relay_status status; /* the last one received */
 	uint64_t status_at_us; /* when that was asked for, 0: no status yet */
+	unsigned status_own_conns; /* this proxy's connections to it then */
 	uint64_t heard_us; /* when the last answer came, 0: never */
 	uint64_t asked_us; /* a grantor: when it was asked for tokens */
 	/*
@@ -211,6 +216,8 @@
 	bool act_scheduled; /* act_not_before_us is set for this failure */
 	bool stepped_down; /* the old primary confirmed its step-down */
 	unsigned n_samples; /* ever taken; index of the next modulo the size */
+	bool pooled; /* one of its homes runs all, if it can; placement.c */
+	struct rsched *sched; /* what waits here, NULL: nothing yet */
 	struct rrank rank;
 	GPtrArray *homes; /* names; only role_homes() updates them */
 	GPtrArray *spares; /* names; only role_spares() updates them */
@@ -306,6 +313,11 @@
 	struct rserver *executed_by; /* server that ran it; RRUN_CONFIRMING */
 	struct position after; /* a replica's log must reach this */
 	GList link; /* in the relay's waiting runs, or a limit's */
+	/* Waits for the service's servers there, NULL: not; see scheduler.c */
+	struct rservice *queued_at;
+	struct squeue_entry wait; /* in that queue */
+	uint64_t forecast_us; /* its wait by the last check, UINT64_MAX: none */
+	bool pooled; /* the homes of its service are */
 	/* The answer that the caller gets once it is confirmed. */
 	GString *rows;
 	GString *signature;
@@ -401,6 +413,7 @@
 	GPtrArray *served; /* struct rservice that the tick runs; see role.c */
 	GPtrArray *active; /* struct rserver that the tick runs */
 	struct feed_source *feed_source;
+	struct rplace *place;
 	/* A list of proxies that is not applied yet, NULL: none; see peer.c */
 	struct relay_server_info *peers_pending;
 	uint64_t peers_pending_since_us; /* time at which it came */
@@ -596,13 +609,13 @@
 
 /* run.c */
 void rrun_begin(struct rsession *s, uint64_t now_us);
-void rrun_refuse_rate_limited(struct rsession *s, const char *text,
-			      uint64_t now_us);
+void rrun_fail(struct rsession *s, enum relay_code code, const char *text,
+	       uint64_t now_us);
+void rrun_try_start(struct rsession *s, uint64_t now_us);
 void rrun_start(struct rsession *s, const struct relay_statement *statement,
 		bool writes, uint64_t now_us);
 void rrun_record(struct rsession *s, const struct relay_statement *statement,
 		 uint64_t now_us);
-void rrun_dispatch(struct relay *r, uint64_t now_us);
 void rrun_on_answer(struct rconn *c, enum rstep step,
 		    const struct relay_answer *answer, uint64_t now_us);
 void rrun_on_lost(struct rsession *s, struct rserver *server, bool timed_out,
@@ -627,6 +640,9 @@
 void rpick_choose(struct rsession *s, struct rpick *out, uint64_t now_us);
 void rpick_consider(struct rserver *s, struct rserver **best, uint64_t *least,
 		    const struct rsession *session, uint64_t now_us);
+/* Slots of the servers that may run the session's run; cost_us: its own. */
+void rpick_room(const struct rsession *s, struct rservice *v, uint64_t cost_us,
+		struct squeue_room *out, uint64_t now_us);
 void rpick_find_conn(struct rsession *s, struct rpick *out, uint64_t now_us);
 /* Tracks since when the primary has been needed but could not be used. */
 void rpick_track_primary_use(struct rservice *v, uint64_t wanted_at_us,
@@ -635,53 +651,6 @@
 			  const struct relay_profile *profile,
 			  struct log_line *l, uint64_t now_us);
 
-/* peer.c */
-GHashTable *peers_table_new(void);
-void peers_clear(struct relay *r);
-const struct relay_server_info *peers_find(const struct relay *r,
-					   const char *name);
-void peers_on_catalog(struct relay *r, uint64_t now_us);
-void peers_tick(struct relay *r, uint64_t now_us);
-
-/* role.c */
-unsigned role_proxy_count(const struct relay *r);
-bool role_update_all(struct relay *r);
-void role_update_served(struct relay *r);
-GPtrArray *role_homes(struct rservice *v);
-GPtrArray *role_spares(struct rservice *v);
-void role_on_new_service(struct rservice *v);
-void role_on_asked(struct rservice *v, uint64_t now_us);
-void role_end_spares(struct relay *r, uint64_t now_us);
-
-/* rank.c */
-void rank_init(struct rservice *v);
-void rank_on_added(struct rservice *v, const char *name);
-void rank_on_removed(struct rservice *v, const char *name);
-unsigned rank_best(const struct rservice *v, const char **names, unsigned max);
-
-/* via.c */
-void via_on_proxy_changed(struct relay *r, const struct relay_server_info *p,
-			  uint64_t now_us);
-struct rserver *via_list_home(struct rservice *via,
-			      const struct relay_server_info *p,
-			      uint64_t now_us);
-void via_update_homes(struct relay *r, uint64_t now_us);
-void via_tick(struct relay *r, uint64_t now_us);
-bool via_may_bypass(const struct rsession *s, struct rservice *v,
-		    uint64_t now_us);
-bool via_is_isolated(const struct relay *r, uint64_t now_us);
-bool via_has_no_home(const struct rsession *s, uint64_t now_us);
-bool via_is_cut_off(struct rservice *v, uint64_t now_us);
-bool via_is_good_home(const struct rserver *s, uint64_t now_us);
-bool via_may_try_another(const struct rsession *s, struct rserver *home);
-void via_choose(struct rsession *s, const struct relay_profile *profile,
-		struct rservice *v, struct rpick *out, uint64_t now_us);
-
-/* partition.c */
-bool rpartition_is_cut_off(const struct rservice *v, uint64_t now_us);
-bool rpartition_is_any_cut_off(const struct relay *r, uint64_t now_us);
-void rpartition_tick(struct relay *r, uint64_t now_us);
-
 /* outlier.c */
 uint64_t routlier_cost_us(const struct routlier *o, uint64_t now_us);
 void routlier_on_answer(struct routlier *o, enum relay_code code,
@@ -773,6 +742,7 @@
 void rmetrics_statement(const struct rsession *s, enum relay_code code,
 			uint64_t now_us);
 void rmetrics_waited(const struct relay *r, uint64_t us);
+void rmetrics_refused(const struct relay *r, enum sadmit_verdict verdict);
 void rmetrics_answered(const struct rserver *s, uint64_t us);
 void rmetrics_store_era(struct relay *r, uint64_t era, bool returned);
 void rmetrics_store_call(const struct relay *r, uint64_t us);
--- a/packages/relay/src/rlog.c
+++ b/packages/relay/src/rlog.c
@@ -6,6 +6,7 @@
  * home that ran the statement log the same ones.
  */
 #include "relay_internal.h"
+#include "scheduler.h"
 
 #include <string.h>
 #include <xxhash.h>
@@ -161,6 +162,7 @@
 	const struct rservice *v = NULL;
 
 	put_ages(l, s->relay, now_us);
+	rsched_put_inputs(s, l);
 	if (profile)
 		v = g_hash_table_lookup(s->relay->services, profile->service);
 	if (!v)
--- a/packages/relay/src/rmetrics.c
+++ b/packages/relay/src/rmetrics.c
@@ -18,6 +18,7 @@
 	struct counter *sessions;
 	struct counter *transactions;
 	struct counter *waiting;
+	struct counter *refused[SADMIT_VERDICTS]; /* by verdict */
 	struct counter *idle;
 	struct counter *in_use;
 	struct counter *opening;
@@ -96,6 +97,28 @@
 			       "log lines dropped since the start");
 }
 
+static void create_refused(struct rmetrics *m, struct counter_set *set)
+{
+	static const char *const labels[] = {
+		[SADMIT_REFUSE_OVERLOAD] = "reason=\"overload\"",
+		[SADMIT_REFUSE_NO_SERVER] = "reason=\"no-server\"",
+	};
+	unsigned i;
+
+	for (i = SADMIT_REFUSE_OVERLOAD; i < SADMIT_VERDICTS; i++)
+		m->refused[i] = counter_get(
+			set, COUNTER_COUNT,
+			"celeryquay_relay_refused_waiting_total", labels[i],
+			"statements refused as they would not be served in "
+			"time");
+}
+
+/* A statement that waited, or was to wait, was refused. */
+void rmetrics_refused(const struct relay *r, enum sadmit_verdict verdict)
+{
+	counter_add(r->metrics->refused[verdict], 1);
+}
+
 /* All metrics start at 0. */
 struct rmetrics *rmetrics_create(struct counter_set *set)
 {
@@ -121,6 +144,7 @@
 	m->fences_again = counter_get(
 		set, COUNTER_COUNT, "celeryquay_relay_fences_again_total", NULL,
 		"fences made again because a server appeared");
+	create_refused(m, set);
 	create_gauges(m, set);
 	return m;
 }
--- a/packages/relay/src/role.c
+++ b/packages/relay/src/role.c
@@ -11,7 +11,7 @@
  * along with each use. See via.c.
  */
 #define LOG_MODULE "role"
-#include "relay_internal.h"
+#include "homes.h"
 
 /*
  * Tenths of a connection that each proxy must have at a server for all proxies
@@ -56,17 +56,44 @@
 	return n * HOMES_PER_PROXY / MAX(n_services, 1);
 }
 
-/* How many of n proxies are homes of the service. */
-static unsigned homes_wanted(const struct rservice *v, unsigned n)
+/* Whether each of n proxies can have enough connections to each server. */
+static bool may_connect_directly(const struct rservice *v, unsigned n)
 {
 	unsigned limit = v->max_connections;
+
+	return !limit || n * DIRECT_CONN_TENTHS <= limit * 10;
+}
+
+/* How many of n proxies are homes where not all are, unless they are pooled. */
+static unsigned limited_homes(const struct rservice *v, unsigned n)
+{
 	unsigned max_homes = MIN(LIMITED_HOMES_MAX, fleet_share(v, n));
 
-	if (!limit || n * DIRECT_CONN_TENTHS <= limit * 10)
+	return MAX(MIN(v->max_connections / CONNS_PER_HOME, max_homes),
+		   LIMITED_HOMES_MIN);
+}
+
+/* How many of n proxies are homes of the service. */
+static unsigned homes_wanted(const struct rservice *v, unsigned n)
+{
+	if (may_connect_directly(v, n))
 		return MIN(n, HOMES_MAX);
-	return MIN(MAX(MIN(limit / CONNS_PER_HOME, max_homes),
-		       LIMITED_HOMES_MIN),
-		   n);
+	return MIN(v->pooled ? SPLACE_POOLED_HOMES : limited_homes(v, n), n);
+}
+
+/* Pools the service's homes, or stops that; its ranks change with it. */
+static void update_pooling(struct rservice *v)
+{
+	unsigned n = role_proxy_count(v->relay);
+	bool pooled =
+		!may_connect_directly(v, n) &&
+		rplace_is_pooled(v, limited_homes(v, n), LIMITED_HOMES_MIN);
+
+	if (pooled == v->pooled)
+		return;
+	v->pooled = pooled;
+	rank_init(v);
+	rplace_log(v);
 }
 
 static void log_home(const struct rservice *v)
@@ -111,10 +138,13 @@
 /* Becomes a home of the service, or stops being one. True: one of these. */
 static bool update_role(struct rservice *v)
 {
-	unsigned wanted = homes_wanted(v, role_proxy_count(v->relay));
-	bool is_home =
-		(v->rank.n_ranked_before < wanted && v->relay->knows_fleet) ||
-		is_spare_in_use(v);
+	unsigned wanted;
+	bool is_home;
+
+	update_pooling(v);
+	wanted = homes_wanted(v, role_proxy_count(v->relay));
+	is_home = (v->rank.n_ranked_before < wanted && v->relay->knows_fleet) ||
+		  is_spare_in_use(v);
 
 	if (is_home == v->is_home)
 		return false;
--- a/packages/relay/src/run.c
+++ b/packages/relay/src/run.c
@@ -6,7 +6,9 @@
  * unknown (RELAY_IN_DOUBT).
  */
 #define LOG_MODULE "run"
-#include "relay_internal.h"
+#include "homes.h"
+#include "scheduler.h"
+#include "wait.h"
 
 #include <celeryquay/base/log.h>
 
@@ -15,28 +17,17 @@
  * within a transaction.
  */
 #define RETRY_BACKOFF_US (8 * USEC_PER_MSEC)
-/* The queue timeout is a profile's latency target divided by this. */
-#define QUEUE_TIMEOUT_DIVISOR 4
 /*
- * The same for the wait for a token. It may be longer, since a caller that
- * retries meets the same rate limit again.
+ * The wait for a token is the latency target divided by this. It may be longer
+ * than that for a server, since a caller that retries meets the same rate limit
+ * again.
  */
 #define TOKEN_WAIT_DIVISOR 2
-/*
- * The part of the queue timeout that a statement from another proxy may wait
- * here when that proxy did not say how long.
- */
-#define PEER_WAIT_NUM 3
-#define PEER_WAIT_DEN 4
 /*
  * The least time left for which another proxy is asked: about as long as a
  * statement runs, so that a connection may become idle meanwhile.
  */
 #define MIN_PEER_WAIT_US (15 * USEC_PER_MSEC)
-/* From the caller to this proxy and back. */
-#define CALLER_ROUND_TRIP_US (10 * USEC_PER_MSEC)
-/* After how long a refused caller is told to retry, at least. */
-#define MIN_RETRY_AFTER_US (100 * USEC_PER_MSEC)
 /*
  * How long an executed write may wait for the proof that its primary was not
  * replaced before its caller is told that the outcome is unknown.
@@ -73,7 +64,7 @@
 static void finish(struct rsession *s)
 {
 	if (s->run.state == RRUN_QUEUED)
-		g_queue_unlink(&s->relay->waiting, &s->run.link);
+		rwait_cancel(s);
 	s->run.state = RRUN_NONE;
 }
 
@@ -113,8 +104,8 @@
 }
 
 /* Ends the run with an error; an open transaction fails with it. */
-static void fail(struct rsession *s, enum relay_code code, const char *text,
-		 uint64_t now_us)
+void rrun_fail(struct rsession *s, enum relay_code code, const char *text,
+	       uint64_t now_us)
 {
 	struct relay_answer a = { .code = code, .text = str_from_c(text) };
 	char state = 'I';
@@ -164,7 +155,8 @@
 	if (v->primary == run->executed_by && v->term == run->term &&
 	    now_us < run->answered_us + CONFIRM_TIMEOUT_US)
 		return false;
-	fail(s, RELAY_IN_DOUBT, "the primary may have been replaced", now_us);
+	rrun_fail(s, RELAY_IN_DOUBT, "the primary may have been replaced",
+		  now_us);
 	return true;
 }
 
@@ -220,7 +212,7 @@
 }
 
 /* Gives a queued run a connection and starts it, if one is available now. */
-static void try_start(struct rsession *s, uint64_t now_us)
+void rrun_try_start(struct rsession *s, uint64_t now_us)
 {
 	struct rrun *run = &s->run;
 	struct rpick pick;
@@ -229,7 +221,8 @@
 		return;
 	rpick_choose(s, &pick, now_us);
 	if (pick.cut_off) {
-		fail(s, RELAY_MOVED, "this proxy is cut off from it", now_us);
+		rrun_fail(s, RELAY_MOVED, "this proxy is cut off from it",
+			  now_us);
 		return;
 	}
 	if (!pick.conn)
@@ -237,7 +230,7 @@
 	rlog_route(s, &pick, now_us);
 	set_text(run->server, str_from_c(pick.server->info.id));
 	rmetrics_waited(s->relay, now_us - run->arrived_us);
-	g_queue_unlink(&s->relay->waiting, &run->link);
+	rwait_on_started(s);
 	run->state = RRUN_RUNNING;
 	run->after = pick.after;
 	run->term = pick.server->service->term;
@@ -249,31 +242,6 @@
 	rstep_next(pick.conn, now_us);
 }
 
-static bool has_precedence(const struct rrun *a, const struct rrun *b)
-{
-	if (a->priority != b->priority)
-		return a->priority < b->priority;
-	if (a->account_priority != b->account_priority)
-		return a->account_priority < b->account_priority;
-	return a->due_us < b->due_us;
-}
-
-/* Queues the run by priority, then by deadline of its latency target. */
-static void enqueue(struct rsession *s)
-{
-	GQueue *waiting = &s->relay->waiting;
-	GList *before = waiting->tail;
-
-	while (before &&
-	       has_precedence(&s->run, &((struct rsession *)before->data)->run))
-		before = before->prev;
-	s->run.state = RRUN_QUEUED;
-	if (before)
-		g_queue_insert_after_link(waiting, before, &s->run.link);
-	else
-		g_queue_push_head_link(waiting, &s->run.link);
-}
-
 /* Queues a run whose last try had no effect again, to retry it elsewhere. */
 static void enqueue_retry(struct rsession *s, struct rserver *server,
 			  enum relay_code code, uint64_t now_us)
@@ -285,8 +253,8 @@
 	run->code = code;
 	run->sent = false;
 	if (run->tries == MAX_RUN_TRIES) {
-		fail(s, code == RELAY_MOVED ? RELAY_BUSY : code,
-		     "no server could execute it", now_us);
+		rrun_fail(s, code == RELAY_MOVED ? RELAY_BUSY : code,
+			  "no server could execute it", now_us);
 		return;
 	}
 	record_try(run, server, code, now_us);
@@ -294,30 +262,7 @@
 	if (code != RELAY_MOVED) /* not due to load, so no backoff */
 		run->again_us += (run->tries - 1) * RETRY_BACKOFF_US;
 	rlog_retry(s, server->info.id, code, now_us);
-	enqueue(s);
-}
-
-/*
- * How long a statement may wait in the queue. A caller that is refused early
- * can still retry within its latency target; one that waited for long can't.
- * Where the target is too short for any retry, the statement waits for as long
- * as it may still be served in time. With faults, and a target of 100 ms, this
- * lowers the late urgent statements from 5.0 % to 3.7 % and the refused ones
- * from 0.9 % to 0.5 %.
- */
-static uint64_t queue_timeout_us(const struct relay_profile *profile,
-				 bool for_peer)
-{
-	uint64_t us = profile->target_latency_us / QUEUE_TIMEOUT_DIVISOR;
-
-	if (us + MIN_RETRY_AFTER_US >= profile->target_latency_us)
-		us = profile->target_latency_us;
-	/* The other proxy may have queued it before, too. */
-	if (for_peer)
-		us = us * PEER_WAIT_NUM / PEER_WAIT_DEN;
-
-	us = us > 2 * CALLER_ROUND_TRIP_US ? us - CALLER_ROUND_TRIP_US : us / 2;
-	return MIN(us, profile->timeout_us);
+	rwait_push(s, now_us);
 }
 
 /*
@@ -343,7 +288,7 @@
 
 	if (!profile) {
 		run->state = RRUN_RUNNING;
-		fail(s, RELAY_NO_DATABASE, "no such database", now_us);
+		rrun_fail(s, RELAY_NO_DATABASE, "no such database", now_us);
 		return;
 	}
 	set_text(run->name, statement->name);
@@ -354,12 +299,7 @@
 			  (in_transaction(s) && !s->read_only);
 	run->priority = profile->priority;
 	run->account_priority = raccount_priority(s);
-	run->deadline_us = now_us + profile->timeout_us;
-	run->due_us = now_us + profile->target_latency_us;
-	run->queue_deadline_us = now_us + queue_timeout_us(profile, s->peer);
-	if (statement->wait_us)
-		run->queue_deadline_us =
-			now_us + MIN(statement->wait_us, profile->timeout_us);
+	rwait_set_deadlines(s, profile, statement->wait_us, now_us);
 	run->token_deadline_us =
 		now_us + profile->target_latency_us / TOKEN_WAIT_DIVISOR;
 	run->again_us = 0;
@@ -387,28 +327,10 @@
 	s->has_txn_token = in_transaction(s);
 	/* The queue timeout starts now, after the wait for the token. */
 	s->run.queue_deadline_us += now_us - s->run.arrived_us;
-	enqueue(s);
-	try_start(s, now_us);
-}
-
-/* Refuses a run for which its account has no token; no server has seen it. */
-void rrun_refuse_rate_limited(struct rsession *s, const char *text,
-			      uint64_t now_us)
-{
-	fail(s, RELAY_BUSY, text, now_us);
-}
-
-/* Starts queued runs, in the queue's order, for which there is a connection. */
-void rrun_dispatch(struct relay *r, uint64_t now_us)
-{
-	GList *l = r->waiting.head;
-
-	while (l) {
-		GList *next = l->next;
-
-		try_start(l->data, now_us);
-		l = next;
-	}
+	rwait_push(s, now_us);
+	rrun_try_start(s, now_us);
+	if (s->run.state == RRUN_QUEUED && rsched_is_queued(s))
+		rsched_check(s, now_us);
 }
 
 static bool is_not_executed(enum relay_code code)
@@ -475,25 +397,6 @@
 	return true;
 }
 
-/* Refuses a run that got no server; the text says when to retry. */
-static void refuse(struct rsession *s, uint64_t now_us)
-{
-	const struct rservice *v =
-		registry_service_of_database(s->relay, s->database);
-	uint64_t until_us = 0, wait_us = MIN_RETRY_AFTER_US;
-	char text[64];
-
-	if (v && s->run.to_primary)
-		until_us = rfailover_expected_primary_at_us(v);
-	if (until_us > now_us + wait_us)
-		wait_us = until_us - now_us;
-	g_snprintf(text, sizeof(text), "no server in time; come back in %u ms",
-		   (unsigned)(wait_us / USEC_PER_MSEC));
-	/* Callers need not know that a home is cut off from a server. */
-	fail(s, s->run.code == RELAY_MOVED ? RELAY_BUSY : s->run.code, text,
-	     now_us);
-}
-
 /*
  * A server shed the statement. Once its queue timeout is over it is refused at
  * once. Retries against an overloaded server would go on otherwise, and the
@@ -503,13 +406,28 @@
 {
 	struct rrun *run = &s->run;
 
-	if (now_us < run->queue_deadline_us || run->tries == MAX_RUN_TRIES) {
+	if (rwait_may_requeue(s, now_us) || run->tries == MAX_RUN_TRIES) {
 		enqueue_retry(s, server, RELAY_BUSY, now_us);
 		return;
 	}
 	record_try(run, server, RELAY_BUSY, now_us);
 	run->code = RELAY_BUSY;
-	refuse(s, now_us);
+	rwait_refuse_unserved(s, now_us);
+}
+
+/*
+ * Where homes are pooled the home's text says when to retry; elsewhere another
+ * home may be free sooner.
+ */
+static void refuse_like_home(struct rsession *s,
+			     const struct relay_answer *from, uint64_t now_us)
+{
+	char *text = s->run.pooled && from->text.len ?
+			     str_dup(from->text) :
+			     g_strdup("the home refused it");
+
+	rrun_fail(s, from->code, text, now_us);
+	g_free(text);
 }
 
 static void on_refusal(struct rconn *c, const struct relay_answer *from,
@@ -529,7 +447,7 @@
 		s->run.sent = false;
 	if (server->service->peers && from->code == RELAY_BUSY &&
 	    !via_may_try_another(s, server)) {
-		fail(s, from->code, "the home refused it", now_us);
+		refuse_like_home(s, from, now_us);
 		return;
 	}
 	if (from->code == RELAY_BUSY && can_retry(s)) {
@@ -545,8 +463,9 @@
 	if (in_transaction(s) && schedule_retry(c, from, now_us))
 		return;
 	text = str_dup(from->text);
-	fail(s, from->code == RELAY_NO_STATEMENT ? RELAY_ABORTED : from->code,
-	     text, now_us);
+	rrun_fail(s,
+		  from->code == RELAY_NO_STATEMENT ? RELAY_ABORTED : from->code,
+		  text, now_us);
 	g_free(text);
 }
 
@@ -564,8 +483,8 @@
 							    RELAY_BUSY,
 			      now_us);
 	else
-		fail(s, RELAY_ABORTED, "the session could not be set up",
-		     now_us);
+		rrun_fail(s, RELAY_ABORTED, "the session could not be set up",
+			  now_us);
 }
 
 /* Handles an answer on a connection whose session has left it. */
@@ -622,14 +541,16 @@
 	if (can_retry(s) && now_us < run->deadline_us)
 		enqueue_retry(s, server, RELAY_BUSY, now_us);
 	else if (can_retry(s) && !timed_out)
-		fail(s, RELAY_BUSY, "the server was lost", now_us);
+		rrun_fail(s, RELAY_BUSY, "the server was lost", now_us);
 	else if (!run->sent || (in_transaction(s) &&
 				(run->verb != RELAY_COMMIT || !s->wrote)))
-		fail(s, RELAY_ABORTED, "the server was lost", now_us);
+		rrun_fail(s, RELAY_ABORTED, "the server was lost", now_us);
 	else if (run->writes || run->verb == RELAY_COMMIT)
-		fail(s, RELAY_IN_DOUBT, "the server's answer is lost", now_us);
+		rrun_fail(s, RELAY_IN_DOUBT, "the server's answer is lost",
+			  now_us);
 	else
-		fail(s, RELAY_TIMED_OUT, "the server did not answer", now_us);
+		rrun_fail(s, RELAY_TIMED_OUT, "the server did not answer",
+			  now_us);
 }
 
 /*
@@ -648,6 +569,10 @@
 		return;
 	after_us = MAX(LATE_READ_MIN_US,
 		       LATE_READ_LATENCIES * c->server->latency_us);
+	/* A home that answers others has it in its queue. */
+	if (s->run.pooled && c->server->service->peers &&
+	    now_us < c->server->heard_us + LATE_READ_MIN_US)
+		return;
 	if (now_us < c->sent_us + after_us ||
 	    !retry_budget_take(&s->relay->retries))
 		return;
@@ -669,8 +594,7 @@
 			rlimit_on_timeout(s, now_us);
 		break;
 	case RRUN_QUEUED:
-		if (now_us >= run->queue_deadline_us)
-			refuse(s, now_us);
+		rwait_check(s, now_us);
 		break;
 	case RRUN_RUNNING:
 		retry_late_read(s, now_us);
--- /dev/null
+++ b/packages/relay/src/scheduler.c
@@ -0,0 +1,307 @@
+#define LOG_MODULE "sched"
+#include "scheduler.h"
+
+#include "homes.h"
+#include "wait.h"
+
+#include <celeryquay/sched/admission.h>
+#include <celeryquay/sched/queue.h>
+#include <celeryquay/sched/speed.h>
+
+/* An account's weight, by the priority that operators give it. */
+#define WEIGHT_HIGHEST 4
+#define WEIGHT_SECOND 2
+/* Expected service time of a profile that has not run yet, of its target. */
+#define UNKNOWN_COST_DIVISOR 8
+/*
+ * The time that a statement needs at the server counts this many times against
+ * its deadline: nine in ten need less than twice the mean.
+ */
+#define COST_MARGIN 2
+/* Interval between two checks of all that waits. */
+#define CHECK_INTERVAL_US (20 * USEC_PER_MSEC)
+
+struct rsched {
+	struct squeue *queue;
+	struct sspeed *speed;
+	struct sretry retry;
+	uint64_t checked_at_us; /* time of the last check of all that waits */
+};
+
+struct rsched *rsched_create(void)
+{
+	struct rsched *q = g_new0(struct rsched, 1);
+
+	q->queue = squeue_create();
+	q->speed = sspeed_create();
+	return q;
+}
+
+void rsched_destroy(struct rsched *q)
+{
+	if (!q)
+		return;
+	squeue_destroy(q->queue);
+	sspeed_destroy(q->speed);
+	g_free(q);
+}
+
+/* The queue of a service; created on first use. */
+static struct rsched *sched_of(struct rservice *v)
+{
+	if (!v->sched)
+		v->sched = rsched_create();
+	return v->sched;
+}
+
+static struct rservice *service_of(const struct rsession *s)
+{
+	return registry_service_of_database(s->relay, s->database);
+}
+
+/*
+ * A standby's own callers wait for the first home instead, in the queue of
+ * wait.c.
+ */
+bool rsched_applies(const struct rsession *s)
+{
+	const struct rservice *v = service_of(s);
+
+	return v && v->pooled && v->is_home &&
+	       (s->peer || !v->rank.n_ranked_before);
+}
+
+static unsigned weight_of(const struct rsession *s)
+{
+	unsigned priority = raccount_priority(s);
+
+	if (!priority)
+		return WEIGHT_HIGHEST;
+	return priority == 1 ? WEIGHT_SECOND : 1;
+}
+
+void rsched_push(struct rsession *s, uint64_t now_us)
+{
+	struct rservice *v = service_of(s);
+	struct rsched *q = sched_of(v);
+	struct rrun *run = &s->run;
+	uint64_t target_us = run->due_us - run->arrived_us;
+
+	run->wait = (struct squeue_entry){
+		.priority = run->priority,
+		.account = s->account,
+		.weight = weight_of(s),
+		.primary_only = run->to_primary,
+		.begun = run->tries > 0,
+		.due_us = run->due_us,
+		.cost_us = sspeed_expected_us(q->speed, s->database,
+					      target_us / UNKNOWN_COST_DIVISOR),
+		.user = s,
+	};
+	run->state = RRUN_QUEUED;
+	run->queued_at = v;
+	squeue_push(q->queue, &run->wait, now_us);
+}
+
+bool rsched_is_queued(const struct rsession *s)
+{
+	return s->run.queued_at != NULL;
+}
+
+void rsched_on_started(struct rsession *s)
+{
+	squeue_start(s->run.queued_at->sched->queue, &s->run.wait);
+	s->run.queued_at = NULL;
+}
+
+void rsched_cancel(struct rsession *s)
+{
+	squeue_cancel(s->run.queued_at->sched->queue, &s->run.wait);
+	s->run.queued_at = NULL;
+}
+
+/* Whether no server of the service can take one more statement now. */
+static bool is_full(const struct rservice *v)
+{
+	unsigned i;
+
+	for (i = 0; i < v->servers->len; i++) {
+		const struct rserver *s = rservice_server(v, i);
+
+		if (rserver_is_up(s) && !inflight_is_full(s))
+			return false;
+	}
+	return true;
+}
+
+static void dispatch(struct rservice *v, uint64_t now_us)
+{
+	struct squeue_entry *e = squeue_first(v->sched->queue, now_us), *next;
+
+	for (; e && !is_full(v); e = next) {
+		next = squeue_next(e);
+		rrun_try_start(e->user, now_us);
+	}
+}
+
+void rsched_dispatch(struct relay *r, uint64_t now_us)
+{
+	unsigned i;
+
+	for (i = 0; i < r->served->len; i++) {
+		struct rservice *v = g_ptr_array_index(r->served, i);
+
+		if (v->sched && squeue_length(v->sched->queue))
+			dispatch(v, now_us);
+	}
+}
+
+/* When a statement like this would be admitted, and how far apart. */
+static uint64_t retry_after_us(struct rservice *v, const struct rrun *run,
+			       const struct squeue_room *room,
+			       const struct sadmit_request *request,
+			       uint64_t now_us)
+{
+	unsigned slots = room->primary_slots + room->replica_slots;
+	uint64_t at_us = 0, free_after_us = 0;
+
+	if (request->wait_us == UINT64_MAX)
+		at_us = rfailover_expected_primary_at_us(v);
+	else
+		at_us = now_us + request->wait_us + request->cost_us -
+			MIN(run->deadline_us - MIN(now_us, run->deadline_us),
+			    request->wait_us + request->cost_us);
+	if (at_us > now_us)
+		free_after_us = at_us - now_us;
+	return sretry_after_us(&v->sched->retry, free_after_us,
+			       run->wait.cost_us / MAX(slots, 1), now_us);
+}
+
+/* Refuses the run if it won't be served in time. */
+static void check(struct rsession *s, struct squeue_forecast *forecast,
+		  uint64_t now_us)
+{
+	struct rrun *run = &s->run;
+	struct rservice *v = run->queued_at;
+	struct squeue_room room;
+	struct sadmit_request request = {
+		.cost_us = run->wait.cost_us * COST_MARGIN,
+		.deadline_us = run->deadline_us,
+		.patience_us = run->queue_deadline_us,
+	};
+	enum sadmit_verdict verdict;
+
+	rpick_room(s, v, run->wait.cost_us, &room, now_us);
+	request.wait_us = squeue_forecast_us(forecast, &run->wait, &room);
+	verdict = sadmit_check(&request, now_us);
+	run->forecast_us = request.wait_us;
+	if (verdict == SADMIT_WAIT)
+		return;
+	rmetrics_refused(s->relay, verdict);
+	rwait_refuse(s, retry_after_us(v, run, &room, &request, now_us),
+		     now_us);
+}
+
+/* Its wait rests on what waits before it. */
+void rsched_check(struct rsession *s, uint64_t now_us)
+{
+	struct rservice *v = s->run.queued_at;
+	struct squeue_forecast forecast = { 0 };
+	struct squeue_room room;
+	struct squeue_entry *e = squeue_first(v->sched->queue, now_us);
+
+	rpick_room(s, v, s->run.wait.cost_us, &room, now_us);
+	for (; e != &s->run.wait; e = squeue_next(e))
+		squeue_forecast_us(&forecast, e, &room);
+	check(s, &forecast, now_us);
+}
+
+static void check_all(struct rservice *v, uint64_t now_us)
+{
+	struct squeue_forecast forecast = { 0 };
+	struct squeue_entry *e = squeue_first(v->sched->queue, now_us), *next;
+
+	v->sched->checked_at_us = now_us;
+	for (; e; e = next) {
+		next = squeue_next(e);
+		check(e->user, &forecast, now_us);
+	}
+}
+
+/*
+ * What was admitted is refused as soon as it can't be served any more, such as
+ * after the loss of a server, and not only at its deadline.
+ */
+void rsched_tick(struct relay *r, uint64_t now_us)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, r->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct rservice *v = value;
+
+		if (v->sched && squeue_length(v->sched->queue) &&
+		    now_us >= v->sched->checked_at_us + CHECK_INTERVAL_US)
+			check_all(v, now_us);
+	}
+}
+
+void rsched_on_answer(const struct rsession *s, const struct rserver *server,
+		      uint64_t took_us, uint64_t now_us)
+{
+	struct rservice *v = server->service;
+	uint64_t expected_us = 0;
+
+	if (!v->pooled)
+		return;
+	if (s->state == 'I')
+		expected_us = s->run.wait.cost_us;
+	sspeed_note(sched_of(v)->speed, server->info.id, s->database, took_us,
+		    now_us);
+	squeue_charge(v->sched->queue, s->account, weight_of(s), expected_us,
+		      took_us);
+}
+
+void rsched_put_inputs(const struct rsession *s, struct log_line *l)
+{
+	const struct rservice *v = service_of(s);
+
+	if (!v || !v->sched)
+		return;
+	log_u64(l, "queue", squeue_length(v->sched->queue));
+	log_u64(l, "expected_service_ms", s->run.wait.cost_us / USEC_PER_MSEC);
+	if (s->run.forecast_us == UINT64_MAX)
+		log_cstr(l, "expected_wait", "no-server");
+	else
+		log_u64(l, "expected_wait_ms",
+			s->run.forecast_us / USEC_PER_MSEC);
+}
+
+struct status_text {
+	GString *out;
+	const char *comma;
+};
+
+static void write_count(const struct squeue_count *count, void *ctx)
+{
+	struct status_text *t = ctx;
+
+	g_string_append_printf(
+		t->out,
+		"%s{\"account\":\"%s\",\"priority\":%u,"
+		"\"statements\":%u,\"work_ms\":%" G_GUINT64_FORMAT "}",
+		t->comma, count->account, count->priority, count->n,
+		count->work_us / USEC_PER_MSEC);
+	t->comma = ",";
+}
+
+void rsched_write_status(const struct rservice *v, GString *out)
+{
+	struct status_text t = { out, "" };
+
+	g_string_append(out, ",\"queue\":[");
+	if (v->sched)
+		squeue_each_count(v->sched->queue, write_count, &t);
+	g_string_append(out, "]");
+}
--- a/packages/relay/src/server.c
+++ b/packages/relay/src/server.c
@@ -1,6 +1,7 @@
 /* Servers: the state known of each, and the probes that keep it up to date. */
 #define LOG_MODULE "server"
 #include "relay_internal.h"
+#include "scheduler.h"
 
 #include <celeryquay/base/log.h>
 #include <celeryquay/relay/server_list.h>
@@ -257,6 +258,7 @@
 	same_term = s->status.term == answer->status.term;
 	s->status = answer->status;
 	s->status_at_us = sent_us;
+	s->status_own_conns = s->n_conns - s->opening.length;
 	if (was_paused && same_term && s->status.held <= s->status.term)
 		rprimary_on_unpaused(s, now_us);
 	rprimary_on_status(s, sent_us, now_us);
@@ -446,6 +448,7 @@
 	g_ptr_array_free(v->servers, TRUE);
 	g_ptr_array_free(v->homes, TRUE);
 	g_ptr_array_free(v->spares, TRUE);
+	rsched_destroy(v->sched);
 	g_free(v->promotion_target_id);
 	g_free(v->name);
 	g_free(v);
--- a/packages/relay/src/server_list.c
+++ b/packages/relay/src/server_list.c
@@ -45,7 +45,9 @@
 	       a->leaving == b->leaving && a->role == b->role &&
 	       a->slots == b->slots && a->started_at_ms == b->started_at_ms &&
 	       a->unusable == b->unusable && a->forgotten == b->forgotten &&
-	       a->feed_port == b->feed_port && a->mbps == b->mbps;
+	       a->feed_port == b->feed_port &&
+	       a->capacity.cpu_permille == b->capacity.cpu_permille &&
+	       a->capacity.mbps == b->capacity.mbps;
 }
 
 /* NULL is ignored. */
--- a/packages/relay/src/session.c
+++ b/packages/relay/src/session.c
@@ -3,7 +3,8 @@
  * Statements that need no server are answered here.
  */
 #define LOG_MODULE "session"
-#include "relay_internal.h"
+#include "homes.h"
+#include "wait.h"
 
 #include <celeryquay/base/log.h>
 
@@ -409,12 +410,12 @@
 	if (rrun_is_active(s))
 		rlog_session(s, "caller-left", "its connection ended", now_us);
 	if (s->run.state == RRUN_QUEUED)
-		g_queue_unlink(&r->waiting, &s->run.link);
+		rwait_cancel(s);
 	if (s->run.state == RRUN_AWAITING_TOKEN)
 		rlimit_dequeue(s);
 	rsession_abort_transaction(s, now_us);
 	g_hash_table_remove(r->sessions, &session);
-	rrun_dispatch(r, now_us);
+	rwait_dispatch(r, now_us);
 }
 
 static bool is_idle_too_long(const struct rsession *s, uint64_t now_us)
--- a/packages/relay/src/steps.c
+++ b/packages/relay/src/steps.c
@@ -3,16 +3,11 @@
  * values, the prepared statement, BEGIN, and last the caller's own statement.
  */
 #define LOG_MODULE "steps"
-#include "relay_internal.h"
+#include "wait.h"
 
 #include <celeryquay/base/log.h>
 
 #define SETUP_TIMEOUT_US USEC_PER_SEC /* of one step */
-/*
- * Allowed for the round trip between two proxies and their own work, which take
- * 2 to 3 ms.
- */
-#define PEER_ROUND_TRIP_US (4 * USEC_PER_MSEC)
 /* Statements prepared on one connection before it is reset. */
 #define MAX_PREPARED_NAMES 200
 
@@ -120,18 +115,11 @@
 	return run->deadline_us > now_us ? run->deadline_us - now_us : 1;
 }
 
-/*
- * How long another proxy may wait for a server: the time left here, less the
- * round trip to it. Servers are not told (0).
- */
+/* How long another proxy may wait for a server. Servers are not told (0). */
 static uint64_t peer_wait_us(const struct rconn *c, const struct rrun *run,
 			     uint64_t now_us)
 {
-	if (!c->server->service->peers)
-		return 0;
-	return run->queue_deadline_us > now_us + PEER_ROUND_TRIP_US ?
-		       run->queue_deadline_us - now_us - PEER_ROUND_TRIP_US :
-		       1;
+	return c->server->service->peers ? rwait_peer_wait_us(run, now_us) : 0;
 }
 
 /* Sent to other proxies only; a connection to a server has one account. */
--- a/packages/relay/src/via.c
+++ b/packages/relay/src/via.c
@@ -8,7 +8,9 @@
  * sent on to another one.
  */
 #define LOG_MODULE "via"
-#include "relay_internal.h"
+#include "homes.h"
+
+#include <string.h>
 
 #define HOMES_LISTED 3 /* homes of a database that a proxy connects to */
 /* Tries of a statement; the queue timeout leaves no time for more. */
@@ -473,25 +475,98 @@
 	}
 }
 
-/* Chooses a home for the session's statement. */
-void via_choose(struct rsession *s, const struct relay_profile *profile,
-		struct rservice *v, struct rpick *out, uint64_t now_us)
+/* The listed entry of a home; NULL: it is not listed. */
+static struct rserver *find_listed(const struct rservice *via, const char *id)
+{
+	unsigned i;
+
+	for (i = 0; i < via->servers->len; i++) {
+		struct rserver *s = rservice_server(via, i);
+
+		if (s->listed && !strcmp(s->info.id, id))
+			return s;
+	}
+	return NULL;
+}
+
+/*
+ * The home that ranks first among those that may be preferred; NULL: none. A
+ * home of the service counts only those that rank before itself.
+ */
+static struct rserver *first_preferred(struct rservice *via, struct rservice *v,
+				       uint64_t now_us)
+{
+	const GPtrArray *names = role_homes(v);
+	unsigned n = v->is_home ? MIN(v->rank.n_ranked_before, names->len) :
+				  names->len;
+	unsigned i;
+
+	for (i = 0; i < n; i++) {
+		struct rserver *s =
+			find_listed(via, g_ptr_array_index(names, i));
+
+		if (!s)
+			continue;
+		splace_home_note(&s->home,
+				 rserver_is_up(s) && !is_bad_home(s, now_us),
+				 now_us);
+		if (splace_home_is_preferred(&s->home, now_us))
+			return s;
+	}
+	return NULL;
+}
+
+/*
+ * Whether a home leaves its callers' statements to one that ranks before it.
+ * Statements of a service whose homes are pooled run in one order only if they
+ * wait in one queue.
+ */
+bool via_is_standby(const struct rsession *s, struct rservice *v,
+		    const struct relay_profile *profile, uint64_t now_us)
+{
+	struct rservice *via;
+
+	if (!v->pooled || s->peer || s->run.tries)
+		return false;
+	via = via_of(v, profile->database, now_us);
+	via->wanted_at_us = now_us;
+	if (first_preferred(via, v, now_us))
+		return true;
+	open_homes(via, now_us);
+	return false;
+}
+
+static struct rserver *cheapest_home(const struct rservice *via,
+				     const struct rsession *s, uint64_t now_us)
 {
-	struct rservice *via = via_of(v, profile->database, now_us);
 	struct rserver *best = NULL;
 	uint64_t least = 0;
 	unsigned i;
 
-	out->why = "no-home";
-	via->wanted_at_us = now_us;
-	if (v->is_home && !rrun_has_time_for_peer(s, now_us))
-		return;
 	for (i = 0; i < via->servers->len; i++) {
 		struct rserver *server = rservice_server(via, i);
 
 		if (server->listed && rserver_is_up(server))
 			rpick_consider(server, &best, &least, s, now_us);
 	}
+	return best;
+}
+
+/* Chooses a home for the session's statement. */
+void via_choose(struct rsession *s, const struct relay_profile *profile,
+		struct rservice *v, struct rpick *out, uint64_t now_us)
+{
+	struct rservice *via = via_of(v, profile->database, now_us);
+	struct rserver *best = NULL;
+
+	out->why = "no-home";
+	via->wanted_at_us = now_us;
+	if (v->is_home && !rrun_has_time_for_peer(s, now_us))
+		return;
+	if (v->pooled && !s->run.tries)
+		best = first_preferred(via, v, now_us);
+	if (!best)
+		best = cheapest_home(via, s, now_us);
 	if (!best) {
 		open_homes(via, now_us);
 		return;
--- a/packages/relay/tests/support_group.h
+++ b/packages/relay/tests/support_group.h
@@ -8,7 +8,7 @@
  * callers and the checker are in support_history.h.
  */
 
-#include "relay_internal.h"
+#include "homes.h"
 
 #define MS USEC_PER_MSEC
 #define FAKE_SLOTS 3
--- a/packages/relay/tests/test_feed_source.c
+++ b/packages/relay/tests/test_feed_source.c
@@ -29,7 +29,7 @@
 			.host = "127.0.0.1",
 			.zone = zones[i % ZONES],
 			.feed_port = (uint16_t)(1000 + i),
-			.mbps = i < ZONES ? 200 : 10,
+			.capacity.mbps = i < ZONES ? 200 : 10,
 		};
 	}
 }
@@ -82,7 +82,7 @@
 		ck_assert_uint_le(feed_source_plan(f, false, 0).wait_ms, 800);
 		if (p) {
 			ck_assert_str_eq(p->zone, infos[i].zone);
-			ck_assert_uint_eq(p->mbps, 200);
+			ck_assert_uint_eq(p->capacity.mbps, 200);
 		}
 		feed_source_destroy(f);
 	}
@@ -202,7 +202,7 @@
 	size_t bytes;
 
 	list_proxies(cases[_i].proxies);
-	infos[0].mbps = cases[_i].mbps;
+	infos[0].capacity.mbps = cases[_i].mbps;
 	f = start(0, cases[_i].proxies);
 	bytes = feed_source_value_max(f);
 	ck_assert_uint_ge(bytes, cases[_i].min_bytes);
--- a/packages/sched/include/celeryquay/sched/admission.h
+++ b/packages/sched/include/celeryquay/sched/admission.h
@@ -15,6 +15,7 @@
 	SADMIT_REFUSE_OVERLOAD,
 	/* Nothing that may run it is usable, and none is expected in time. */
 	SADMIT_REFUSE_NO_SERVER,
+	SADMIT_VERDICTS
 };
 
 struct sadmit_request {
--- a/packages/sched/include/celeryquay/sched/queue.h
+++ b/packages/sched/include/celeryquay/sched/queue.h
@@ -29,6 +29,7 @@
 	uint64_t number; /* order of arrival */
 	bool late; /* counted as unable to meet its latency target */
 	GSequenceIter *at; /* NULL: not in a queue */
+	GSequenceIter *at_due; /* of those that are not late */
 };
 
 /* What runs, and what could run at once, at a service's servers. */
@@ -43,8 +44,10 @@
 /* The queue must be empty. */
 void squeue_destroy(struct squeue *q);
 void squeue_push(struct squeue *q, struct squeue_entry *e, uint64_t now_us);
-/* Takes an entry out, because it starts or its caller is answered or gone. */
-void squeue_remove(struct squeue *q, struct squeue_entry *e);
+/* Takes an entry out because it starts. */
+void squeue_start(struct squeue *q, struct squeue_entry *e);
+/* Takes an entry out that won't start: it is refused, or its caller is gone. */
+void squeue_cancel(struct squeue *q, struct squeue_entry *e);
 /*
  * Corrects the account's virtual time once the service time of a statement is
  * known: cost_us is what was expected for it.
@@ -54,18 +57,28 @@
 /*
  * The entries in the order in which they are to start; NULL: no more.
  * squeue_first() first moves those that can't meet their target any more behind
- * the others. The entry returned last may be removed before the next call if
- * squeue_next() was called with it before.
+ * the others. An entry may be taken out once the next one is known.
  */
 struct squeue_entry *squeue_first(struct squeue *q, uint64_t now_us);
 struct squeue_entry *squeue_next(const struct squeue_entry *e);
 unsigned squeue_length(const struct squeue *q);
+
+/*
+ * Predicts the waits of entries, visited in the order in which they are to
+ * start. Zero-initialized.
+ */
+struct squeue_forecast {
+	uint64_t primary_work_us; /* ahead, for the primary alone */
+	uint64_t read_work_us; /* ahead, for any server */
+};
+
 /*
- * How long the entry, in the queue or not yet, waits before it starts;
- * UINT64_MAX: nothing may run it now.
+ * How long the entry waits behind those visited before; UINT64_MAX: nothing may
+ * run it now. Counts the entry as visited.
  */
-uint64_t squeue_wait_us(const struct squeue *q, const struct squeue_entry *e,
-			const struct squeue_room *room, uint64_t now_us);
+uint64_t squeue_forecast_us(struct squeue_forecast *f,
+			    const struct squeue_entry *e,
+			    const struct squeue_room *room);
 
 /* What waits, for operators. */
 struct squeue_count {
--- a/packages/transport/tests/support_kv.c
+++ b/packages/transport/tests/support_kv.c
@@ -545,7 +545,7 @@
 		infos[i].host = "127.0.0.1";
 		infos[i].zone = "hall-a";
 		infos[i].feed_port = i ? 0 : 1;
-		infos[i].mbps = i ? 10 : 200;
+		infos[i].capacity.mbps = i ? 10 : 200;
 	}
 	feed_source_on_proxies(f, infos, n_proxies);
 	for (i = 0; i < n_proxies; i++)
