relay: connections of accounts are kept by use, servers compared by completion

Connections of small accounts were closed after 1.5 s without use, or in turn as the one that was idle for longest; accounts read at every replica; and entries sent reads that waited in a home's queue again through a standby, since they hear each home only every few seconds.

A home that runs all statements of a service keeps idle connections for 10 s, closes the one whose account is expected to use it least, opens a further one only if that is sooner than one of the account's own, and prefers one replica for each account. Reads go where they are expected to be done first, by the profile's service time, the server's relative slowness and what it has to do. An entry sends a late read elsewhere only if the home fails its probes. The limits of connections move from conn.c to connlimit.c.

--- a/packages/relay/src/conn.c
+++ b/packages/relay/src/conn.c
@@ -5,7 +5,7 @@
  * ones need not send them again.
  */
 #define LOG_MODULE "conn"
-#include "relay_internal.h"
+#include "connlimit.h"
 #include "scheduler.h"
 #include "wait.h"
 
@@ -17,18 +17,6 @@
 #define REFUSED_BACKOFF_US (150 * USEC_PER_MSEC)
 /* The same where a home doesn't know the database yet; it will in seconds. */
 #define UNKNOWN_DATABASE_BACKOFF_US (500 * USEC_PER_MSEC)
-/*
- * With fewer free connections at a server no further one is opened; at this
- * number spare ones are closed early.
- */
-#define MIN_FREE_CONNS 2
-/*
- * Connections that a proxy may have to a server that is above half full, apart
- * from those whose answer is probably lost.
- */
-#define MAX_CONNS_ABOVE_HALF 2
-/* How long after its start a proxy may open up to the server's limit. */
-#define START_PERIOD_US (4 * USEC_PER_SEC)
 /* Silence from before a request counts for this long at most. */
 #define MAX_PRIOR_SILENCE_US (250 * USEC_PER_MSEC)
 /*
@@ -39,9 +27,6 @@
 #define STUCK_LATENCIES 6
 /* How much longer an answer that no session waits for any more may take. */
 #define ABANDONED_ANSWER_US (150 * USEC_PER_MSEC)
-/* Idle time after which a spare connection to a nearly full server closes. */
-#define NEARLY_FULL_CLOSE_US (600 * USEC_PER_MSEC)
-
 /* Starts to open a connection for an account; "": for the proxy itself. */
 struct rconn *rconn_open(struct rserver *s, const char *account,
 			 uint64_t now_us)
@@ -214,83 +199,6 @@
 	return best;
 }
 
-/*
- * Whether the proxy may open connections up to the server's limit. With client
- * accounts it needs a connection for each of many accounts. If all proxies that
- * restart took every free connection, the first ones would leave none to the
- * others until the servers have dropped the connections from before the
- * restart.
- */
-static bool may_fill_server(const struct rserver *s, uint64_t now_us)
-{
-	const struct relay *r = s->relay;
-
-	return !r->settings.accounts &&
-	       now_us < r->started_us + START_PERIOD_US;
-}
-
-/* Connections to the server that other proxies had when it last said so. */
-static unsigned others_conns(const struct rserver *s)
-{
-	return s->status.connections > s->status_own_conns ?
-		       s->status.connections - s->status_own_conns :
-		       0;
-}
-
-/*
- * Whether a home of a service whose homes are pooled may open one more. The
- * first one needs nearly all, and the others some when they take over from it.
- */
-static bool may_open_pooled(const struct rserver *s, unsigned limit)
-{
-	unsigned reserve = splace_connection_reserve(
-		limit, s->service->rank.n_ranked_before);
-
-	return s->n_conns + others_conns(s) + reserve < limit;
-}
-
-/*
- * Whether one more connection may be opened. The server's limit holds for all
- * proxies together. Above half of it each proxy keeps to MAX_CONNS_ABOVE_HALF,
- * so that restarted proxies find room while the servers still count their
- * connections from before the restart; without accounts, a proxy that has just
- * started may open up to the limit.
- */
-bool rconn_may_open(const struct rserver *s, uint64_t now_us)
-{
-	unsigned limit = s->service->max_connections;
-	unsigned there = MAX(s->status.connections, s->n_conns);
-
-	if (!rserver_is_up(s) || now_us < s->refused_until_us)
-		return false;
-	if (!limit || s->n_conns < s->relay->settings.warm_connections)
-		return true;
-	if (s->service->pooled)
-		return may_open_pooled(s, limit);
-	if (there + MIN_FREE_CONNS > limit)
-		return false;
-	if (may_fill_server(s, now_us))
-		return true;
-	return s->n_conns < MAX_CONNS_ABOVE_HALF + s->n_stuck ||
-	       there * 2 < limit;
-}
-
-/*
- * Makes room for an account's connection where no more may be opened: closes
- * the least recently used idle one (`close` false: only checks that there is
- * one). Returns false when there is none.
- */
-bool rconn_make_room(struct rserver *s, bool close, uint64_t now_us)
-{
-	if (!s->relay->settings.accounts || s->service->peers ||
-	    !s->idle.length || !rserver_is_up(s) ||
-	    now_us < s->refused_until_us)
-		return false;
-	if (close)
-		rconn_close(g_queue_peek_tail(&s->idle));
-	return true;
-}
-
 /* Assigns an idle connection to the session. */
 void rconn_assign(struct rconn *c, struct rsession *session)
 {
@@ -361,15 +269,11 @@
 static void close_spare(struct rserver *s, uint64_t now_us)
 {
 	const struct relay_settings *set = &s->relay->settings;
-	uint64_t after_us = set->idle_close_us;
+	uint64_t after_us = connlimit_idle_close_us(s);
 	struct rconn *c = g_queue_peek_tail(&s->idle);
 
 	if (!c)
 		return;
-	if (s->service->max_connections &&
-	    s->status.connections + MIN_FREE_CONNS >=
-		    s->service->max_connections)
-		after_us = NEARLY_FULL_CLOSE_US;
 	if (!rserver_takes_work(s, now_us))
 		after_us = 0;
 	/* The last one proves that the server did not restart, see server.c. */
@@ -386,7 +290,7 @@
 	if (rconn_is_wanted(s) && rserver_takes_work(s, now_us) &&
 	    !s->opening.length &&
 	    s->n_conns < s->relay->settings.warm_connections &&
-	    rconn_may_open(s, now_us))
+	    connlimit_may_open(s, now_us))
 		rconn_open(s, "", now_us);
 }
 
--- a/packages/relay/src/pick.c
+++ b/packages/relay/src/pick.c
@@ -4,7 +4,9 @@
  * statement would probably take there, plus penalties.
  */
 #define LOG_MODULE "pick"
+#include "connlimit.h"
 #include "homes.h"
+#include "scheduler.h"
 
 /* Added to a replica's known lag before it is expected to be up to date. */
 #define LAG_MARGIN_US (30 * USEC_PER_MSEC)
@@ -66,17 +68,6 @@
 	return OPEN_COST_US + (now_us - MIN(run->arrived_us, now_us));
 }
 
-/* Whether the run can get a connection to the server, now or soon. */
-static bool can_provide_conn(struct rserver *s, const struct rsession *session,
-			     uint64_t now_us)
-{
-	const char *account = rconn_account(s, session);
-
-	return !inflight_is_full(s) &&
-	       (rconn_has_idle(s, account) || rconn_is_opening(s, account) ||
-		rconn_may_open(s, now_us) || rconn_make_room(s, false, now_us));
-}
-
 /* The reason why the primary may run nothing now; NULL: it may. */
 static const char *primary_blocker(const struct rserver *s, uint64_t now_us)
 {
@@ -154,15 +145,36 @@
 	return n;
 }
 
+/*
+ * Where one home runs all statements of a service it knows what each server has
+ * to do, so that it goes by when the statement would be done there.
+ */
+static uint64_t session_cost_us(const struct rserver *s,
+				const struct rsession *session, uint64_t now_us)
+{
+	uint64_t cost;
+
+	if (s->service->peers || !s->service->pooled)
+		return cost_us(s, now_us);
+	cost = rsched_completion_us(s, session, now_us);
+	if (s->service->primary == s)
+		cost = cost * PRIMARY_FACTOR_NUM / PRIMARY_FACTOR_DEN +
+		       PRIMARY_COST_US;
+	if (s->relay->guards.avoid_outliers)
+		cost += routlier_cost_us(&s->outlier, now_us);
+	return cost;
+}
+
 /* Makes the server the best candidate if it is the cheapest so far. */
 void rpick_consider(struct rserver *s, struct rserver **best, uint64_t *least,
 		    const struct rsession *session, uint64_t now_us)
 {
 	uint64_t cost;
 
-	if (!can_provide_conn(s, session, now_us))
+	if (!connlimit_can_provide(s, session, now_us))
 		return;
-	cost = cost_us(s, now_us) + wait_cost_us(s, session, now_us) +
+	cost = session_cost_us(s, session, now_us) +
+	       wait_cost_us(s, session, now_us) +
 	       count_failures(&session->run, s) * USEC_PER_SEC;
 	if (*best && cost >= *least)
 		return;
@@ -239,16 +251,12 @@
 void rpick_find_conn(struct rsession *s, struct rpick *out, uint64_t now_us)
 {
 	struct rserver *server = out->server;
-	const char *account = rconn_account(server, s);
 
 	if (inflight_is_full(server))
 		return;
 	out->conn = rconn_find_idle(server, s);
-	if (out->conn || rconn_is_opening(server, account))
-		return;
-	if (rconn_may_open(server, now_us) ||
-	    rconn_make_room(server, true, now_us))
-		rconn_open(server, account, now_us);
+	if (!out->conn)
+		connlimit_open(server, s, now_us);
 }
 
 /*
@@ -336,7 +344,7 @@
 {
 	if (!blocker && inflight_is_full(s))
 		blocker = "at-limit";
-	if (!blocker && !can_provide_conn(s, session, now_us))
+	if (!blocker && !connlimit_can_provide(s, session, now_us))
 		blocker = "no-connection";
 	log_object_begin(l, NULL);
 	log_cstr(l, "server", s->info.id);
--- a/packages/relay/src/relay_internal.h
+++ b/packages/relay/src/relay_internal.h
@@ -37,6 +37,8 @@
 struct rserver;
 struct rsession;
 struct rlimit;
+struct rsched;
+struct sconn_usage;
 
 /* The database name that a proxy gives when it asks another for tokens. */
 #define RELAY_LIMITS "*limits"
@@ -169,6 +171,7 @@
 	uint64_t latency_us; /* smoothed, of callers' statements */
 	struct routlier outlier;
 	struct inflight_limit limit;
+	struct sconn_usage *usage; /* by account, NULL: not needed */
 
 	enum relay_verb order; /* the order pending or sent last */
 	uint64_t order_term; /* the term that it carries */
@@ -549,13 +552,10 @@
 		uint64_t now_us);
 struct rconn *rconn_find_idle(struct rserver *s,
 			      const struct rsession *session);
-bool rconn_may_open(const struct rserver *s, uint64_t now_us);
 const char *rconn_account(const struct rserver *s,
 			  const struct rsession *session);
 bool rconn_has_idle(const struct rserver *s, const char *account);
 bool rconn_is_opening(const struct rserver *s, const char *account);
-/* `close` false: only checks whether there is one to close. */
-bool rconn_make_room(struct rserver *s, bool close, uint64_t now_us);
 void rconn_assign(struct rconn *c, struct rsession *session);
 void rconn_release(struct rconn *c, uint64_t now_us);
 void rconn_roll_back(struct rconn *c, struct str id, uint64_t now_us);
--- a/packages/relay/src/run.c
+++ b/packages/relay/src/run.c
@@ -6,6 +6,7 @@
  * unknown (RELAY_IN_DOUBT).
  */
 #define LOG_MODULE "run"
+#include "connlimit.h"
 #include "homes.h"
 #include "scheduler.h"
 #include "wait.h"
@@ -238,6 +239,7 @@
 			    s->relay->n_reads_primary :
 			    s->relay->n_reads_replica,
 		    run->writes ? 0 : 1);
+	connlimit_on_used(pick.server, s, now_us);
 	rconn_assign(pick.conn, s);
 	rstep_next(pick.conn, now_us);
 }
@@ -569,9 +571,9 @@
 		return;
 	after_us = MAX(LATE_READ_MIN_US,
 		       LATE_READ_LATENCIES * c->server->latency_us);
-	/* A home that answers others has it in its queue. */
+	/* A home that answers probes has it in its queue. */
 	if (s->run.pooled && c->server->service->peers &&
-	    now_us < c->server->heard_us + LATE_READ_MIN_US)
+	    !c->server->failing_since_us)
 		return;
 	if (now_us < c->sent_us + after_us ||
 	    !retry_budget_take(&s->relay->retries))
--- a/packages/relay/src/scheduler.c
+++ b/packages/relay/src/scheduler.c
@@ -5,6 +5,7 @@
 #include "wait.h"
 
 #include <celeryquay/sched/admission.h>
+#include <celeryquay/sched/connections.h>
 #include <celeryquay/sched/queue.h>
 #include <celeryquay/sched/speed.h>
 
@@ -18,6 +19,12 @@
  * its deadline: nine in ten need less than twice the mean.
  */
 #define COST_MARGIN 2
+/*
+ * Statements for which no connection is found at one event; the next event goes
+ * on from the first again. It bounds the work of an answer while many accounts
+ * wait for connections.
+ */
+#define MAX_FAILED_STARTS 16
 /* Interval between two checks of all that waits. */
 #define CHECK_INTERVAL_US (20 * USEC_PER_MSEC)
 
@@ -137,10 +144,12 @@
 static void dispatch(struct rservice *v, uint64_t now_us)
 {
 	struct squeue_entry *e = squeue_first(v->sched->queue, now_us), *next;
+	unsigned n_failed = 0;
 
-	for (; e && !is_full(v); e = next) {
+	for (; e && n_failed < MAX_FAILED_STARTS && !is_full(v); e = next) {
 		next = squeue_next(e);
 		rrun_try_start(e->user, now_us);
+		n_failed += e->at != NULL;
 	}
 }
 
@@ -186,7 +195,7 @@
 	struct squeue_room room;
 	struct sadmit_request request = {
 		.cost_us = run->wait.cost_us * COST_MARGIN,
-		.deadline_us = run->deadline_us,
+		.deadline_us = MIN(run->deadline_us, run->due_us),
 		.patience_us = run->queue_deadline_us,
 	};
 	enum sadmit_verdict verdict;
@@ -263,6 +272,23 @@
 		      took_us);
 }
 
+uint64_t rsched_completion_us(const struct rserver *server,
+			      const struct rsession *s, uint64_t now_us)
+{
+	struct rservice *v = server->service;
+	const struct sspeed *speed = sched_of(v)->speed;
+	uint64_t service_us =
+		sspeed_expected_us(speed, s->database, s->run.wait.cost_us);
+	uint64_t done_us = sspeed_completion_us(
+		service_us, sspeed_slowness(speed, server->info.id, now_us),
+		server->n_busy + server->opening.length,
+		MAX(server->info.slots, 1));
+
+	if (v->primary == server)
+		return done_us;
+	return done_us + sconn_read_penalty_us(s->account, server->info.id);
+}
+
 void rsched_put_inputs(const struct rsession *s, struct log_line *l)
 {
 	const struct rservice *v = service_of(s);
--- a/packages/relay/src/scheduler.h
+++ b/packages/relay/src/scheduler.h
@@ -32,6 +32,9 @@
 /* A server of the service answered the session's statement. */
 void rsched_on_answer(const struct rsession *s, const struct rserver *server,
 		      uint64_t took_us, uint64_t now_us);
+/* When the server would be done with the run, and its account's preference. */
+uint64_t rsched_completion_us(const struct rserver *server,
+			      const struct rsession *s, uint64_t now_us);
 /* Adds what the decision on the session's statement rests on. */
 void rsched_put_inputs(const struct rsession *s, struct log_line *l);
 /* Appends the queue of a service, as JSON members. */
--- a/packages/relay/src/server.c
+++ b/packages/relay/src/server.c
@@ -3,6 +3,8 @@
 #include "relay_internal.h"
 #include "scheduler.h"
 
+#include <celeryquay/sched/connections.h>
+
 #include <celeryquay/base/log.h>
 #include <celeryquay/relay/server_list.h>
 
@@ -57,6 +59,7 @@
 
 	s->relay->active_stale = true;
 	relay_server_info_clear(&s->info);
+	sconn_usage_destroy(s->usage);
 	g_free(s);
 }
 
--- a/packages/relay/tests/test_accounts.c
+++ b/packages/relay/tests/test_accounts.c
@@ -2,6 +2,7 @@
  * Client accounts: statements run on connections of their own account, keys are
  * checked, and each account's rate of operations is limited.
  */
+#include "connlimit.h"
 #include "limit_internal.h"
 #include "support_history.h"
 
@@ -408,7 +409,7 @@
 	ck_assert(rserver_is_up(s));
 	s->status.connections = f->max_connections / 2 + 1;
 	s->n_conns = 2;
-	return rconn_may_open(s, f->now_us);
+	return connlimit_may_open(s, f->now_us);
 }
 
 /*
