relay: slots of a slow server stay in use; late statements wait a while

Where one home keeps no more in flight than slots and one, that limit has no use and is left out. Statements that miss their target are held for half of the time that is left until their timeout; refusing them at the target cost callers with 3 s of patience answers that were near.

--- a/packages/relay/src/inflight_limit.c
+++ b/packages/relay/src/inflight_limit.c
@@ -42,13 +42,14 @@
  * What waits at the server is in nobody's order. A home through which all
  * statements of a service go keeps the slots busy with one more than they are:
  * the next statement is there when one ends. Opening a connection takes a slot,
- * too.
+ * too. The adaptive limit is not used there: it would leave slots of a slow
+ * server empty.
  */
 static bool is_full_of_own(const struct rserver *s)
 {
 	unsigned most = MAX(s->info.slots, 1) + 1;
 
-	return !s->service->peers && s->n_busy + s->opening.length >= most;
+	return s->n_busy + s->opening.length >= most;
 }
 
 /* Whether the limit allows no further statement to the server now. */
@@ -56,8 +57,8 @@
 {
 	const struct inflight_limit *l = &s->limit;
 
-	if (s->service->pooled && is_full_of_own(s))
-		return true;
+	if (s->service->pooled && !s->service->peers)
+		return is_full_of_own(s);
 	if (!l->most || !s->relay->guards.limit_in_flight)
 		return false;
 	return s->n_busy >= (unsigned)l->most;
--- a/packages/relay/src/scheduler.c
+++ b/packages/relay/src/scheduler.c
@@ -186,6 +186,18 @@
 			       run->wait.cost_us / MAX(slots, 1), now_us);
 }
 
+/*
+ * A statement that misses its latency target is still of use until its timeout,
+ * less what its caller may have used for earlier attempts, which is not known
+ * here: half of that time.
+ */
+static uint64_t useful_until_us(const struct rrun *run)
+{
+	uint64_t due_us = MIN(run->due_us, run->deadline_us);
+
+	return due_us + (run->deadline_us - due_us) / 2;
+}
+
 /* Refuses the run if it won't be served in time. */
 static void check(struct rsession *s, struct squeue_forecast *forecast,
 		  uint64_t now_us)
@@ -195,7 +207,7 @@
 	struct squeue_room room;
 	struct sadmit_request request = {
 		.cost_us = run->wait.cost_us * COST_MARGIN,
-		.deadline_us = MIN(run->deadline_us, run->due_us),
+		.deadline_us = useful_until_us(run),
 		.patience_us = run->queue_deadline_us,
 	};
 	enum sadmit_verdict verdict;
