relay: statements that are overdue no longer count as in flight

A primary that loses a fifth of its answers held up all statements of its service: each lost one stayed in flight for up to a second and a home keeps no more than slots and one there. What has been out for four times the server's latency has run by then; it is still waited for, but makes way.

--- a/packages/relay/src/conn.c
+++ b/packages/relay/src/conn.c
@@ -25,6 +25,12 @@
  */
 #define STUCK_MIN_US (200 * USEC_PER_MSEC)
 #define STUCK_LATENCIES 6
+/*
+ * A server has probably run a statement after this time, or this multiple of
+ * its smoothed latency, which 99 in 100 statements take less than.
+ */
+#define OVERDUE_MIN_US (60 * USEC_PER_MSEC)
+#define OVERDUE_LATENCIES 4
 /* How much longer an answer that no session waits for any more may take. */
 #define ABANDONED_ANSWER_US (150 * USEC_PER_MSEC)
 /* Starts to open a connection for an account; "": for the proxy itself. */
@@ -75,7 +81,7 @@
 		s->probing = NULL;
 	s->n_conns--;
 	if (!s->n_conns)
-		s->n_stuck = 0;
+		s->n_stuck = s->n_overdue = 0;
 	if (c->state == RCONN_OPENING)
 		g_queue_unlink(&s->opening, &c->link);
 	if (c->state == RCONN_IDLE)
@@ -359,6 +365,19 @@
 	return c->step == STEP_CALLER && now_us > c->sent_us + after_us;
 }
 
+/*
+ * Whether a server that keeps no queue has run the statement by now. It is
+ * still waited for, but no longer keeps others from the server: where a part of
+ * the answers is lost, these would soon take up all that may be in flight.
+ */
+static bool is_overdue(const struct rconn *c, uint64_t now_us)
+{
+	uint64_t after_us =
+		MAX(OVERDUE_MIN_US, OVERDUE_LATENCIES * c->server->latency_us);
+
+	return now_us > c->sent_us + after_us;
+}
+
 /* Closes a connection whose answer is overdue. */
 static void check_answer(struct rconn *c, uint64_t now_us)
 {
@@ -367,8 +386,10 @@
 	if (now_us >= c->deadline_us ||
 	    (!c->session && is_stuck(c, now_us - ABANDONED_ANSWER_US)))
 		on_timeout(c, now_us);
-	else if (is_stuck(c, now_us))
-		c->server->n_stuck++;
+	else {
+		c->server->n_stuck += is_stuck(c, now_us);
+		c->server->n_overdue += is_overdue(c, now_us);
+	}
 }
 
 static struct rconn *conn_at(const GPtrArray *list, unsigned i)
@@ -399,8 +420,10 @@
 	GPtrArray *list = list_conns(r);
 	unsigned i;
 
-	for (i = 0; i < list->len; i++)
+	for (i = 0; i < list->len; i++) {
 		conn_at(list, i)->server->n_stuck = 0;
+		conn_at(list, i)->server->n_overdue = 0;
+	}
 	/* The list stays valid: closing one connection closes no other. */
 	for (i = 0; i < list->len; i++)
 		check_answer(conn_at(list, i), now_us);
--- a/packages/relay/src/inflight_limit.c
+++ b/packages/relay/src/inflight_limit.c
@@ -38,6 +38,12 @@
 /* The limit is lifted once it exceeds this multiple of the server's slots. */
 #define UNLIMITED_SLOTS 4
 
+/* What keeps the server's slots busy: statements, and connections opening. */
+unsigned inflight_running(const struct rserver *s)
+{
+	return s->n_busy - MIN(s->n_busy, s->n_overdue) + s->opening.length;
+}
+
 /*
  * What waits at the server is in nobody's order. A home through which all
  * statements of a service go keeps the slots busy with one more than they are:
@@ -49,7 +55,7 @@
 {
 	unsigned most = MAX(s->info.slots, 1) + 1;
 
-	return s->n_busy + s->opening.length >= most;
+	return inflight_running(s) >= most;
 }
 
 /* Whether the limit allows no further statement to the server now. */
--- a/packages/relay/src/pick.c
+++ b/packages/relay/src/pick.c
@@ -215,7 +215,7 @@
 
 static uint64_t work_left_us(const struct rserver *s, uint64_t cost_us)
 {
-	return (s->n_busy + s->opening.length) * cost_us / 2;
+	return inflight_running(s) * cost_us / 2;
 }
 
 /* Which of the service's slots may run the session's statement. */
--- a/packages/relay/src/relay_internal.h
+++ b/packages/relay/src/relay_internal.h
@@ -134,6 +134,8 @@
 	unsigned in_flight; /* number of callers' statements in flight */
 	unsigned n_busy; /* connections that wait for an answer */
 	unsigned n_stuck; /* of n_busy: the answer is probably lost */
+	/* Of n_busy: the server has probably run it, by the last tick. */
+	unsigned n_overdue;
 	uint64_t open_after_us; /* no connection is opened before this */
 	uint64_t refused_until_us; /* avoided until then: it refused one */
 	/* A proxy: when it last answered that it is cut off; 0: never. */
@@ -659,6 +661,7 @@
 
 /* inflight_limit.c */
 bool inflight_is_full(const struct rserver *s);
+unsigned inflight_running(const struct rserver *s);
 void inflight_on_sent(struct rserver *s);
 void inflight_on_answer(struct rserver *s, uint64_t took_us,
 			uint64_t target_latency_us, enum relay_code code,
--- a/packages/relay/src/scheduler.c
+++ b/packages/relay/src/scheduler.c
@@ -293,8 +293,7 @@
 		sspeed_expected_us(speed, s->database, s->run.wait.cost_us);
 	uint64_t done_us = sspeed_completion_us(
 		service_us, sspeed_slowness(speed, server->info.id, now_us),
-		server->n_busy + server->opening.length,
-		MAX(server->info.slots, 1));
+		inflight_running(server), MAX(server->info.slots, 1));
 
 	if (v->primary == server)
 		return done_us;
