relay: spares where all homes of a pooled service are cut off

With three homes, all may be cut off from a primary that other proxies reach. Spares were asked only where no home could be reached at all. They are now also asked where none of the homes can serve, and there are eight instead of four.

--- a/packages/relay/src/role.c
+++ b/packages/relay/src/role.c
@@ -33,6 +33,11 @@
  * eight of one service in 6,561.
  */
 #define SPARES 4
+/*
+ * The same where homes are pooled. If two thirds of the proxies are cut off
+ * from a primary, all three homes and eight spares of a service in 86 are.
+ */
+#define POOLED_SPARES 8
 /* A spare stops being a home if nobody has asked it for this long. */
 #define SPARE_ACTIVE_US (10 * USEC_PER_SEC)
 
@@ -220,7 +225,8 @@
 {
 	const char *names[HOMES_MAX];
 	unsigned n_homes = homes_wanted(v, role_proxy_count(v->relay));
-	unsigned n = rank_best(v, names, MIN(n_homes + SPARES, HOMES_MAX));
+	unsigned n_spares = v->pooled ? POOLED_SPARES : SPARES;
+	unsigned n = rank_best(v, names, MIN(n_homes + n_spares, HOMES_MAX));
 
 	if (copy_names(v->homes, names, n_homes, v->relay->name))
 		v->homes_version++;
--- a/packages/relay/src/via.c
+++ b/packages/relay/src/via.c
@@ -224,6 +224,16 @@
 	return false;
 }
 
+/*
+ * The few homes of a service whose homes are pooled may all be cut off from its
+ * primary, while other proxies reach it.
+ */
+static bool needs_spares(const struct rservice *via, const struct rservice *v,
+			 unsigned n_good)
+{
+	return !is_any_home_up(via) || (v->pooled && !n_good);
+}
+
 /*
  * The few homes that this proxy lists may be cut off, or lack the
  * configuration; its callers would be refused while other homes serve. So one
@@ -253,7 +263,7 @@
 	if (n_good >= HOMES_LISTED || n_listed >= HOMES_LISTED_MAX)
 		return;
 	p = best_unlisted(role_homes(v), v, via);
-	if (!p && !is_any_home_up(via))
+	if (!p && needs_spares(via, v, n_good))
 		p = best_unlisted(role_spares(v), v, via);
 	if (p)
 		via_list_home(via, p, now_us);
