relay: /status shows homes, connections by account and the queue

Operators of services whose homes are pooled saw only the term and the primary: not which homes there are, what waits at the first one, or whose connections use up a server's limit. /status has them for each service now: whether its homes are pooled, this proxy's rank, the homes in rank order, and at a home the slots, busy connections and connections of each server by account (20 at most), and the queue by account and priority. What /status had before is as it was.

Log lines of a statement that did not wait showed the expected wait of an earlier one of its session: the forecast was never reset. rrun_record() does that now.

--- a/packages/relay/src/homes.h
+++ b/packages/relay/src/homes.h
@@ -33,6 +33,7 @@
 bool role_update_all(struct relay *r);
 void role_update_served(struct relay *r);
 GPtrArray *role_homes(struct rservice *v);
+bool role_is_ranked_home(const struct rservice *v);
 GPtrArray *role_spares(struct rservice *v);
 void role_on_new_service(struct rservice *v);
 void role_on_asked(struct rservice *v, uint64_t now_us);
--- a/packages/relay/src/relay.c
+++ b/packages/relay/src/relay.c
@@ -5,6 +5,7 @@
 #define LOG_MODULE "relay"
 #include "homes.h"
 #include "scheduler.h"
+#include "status.h"
 #include "wait.h"
 
 #include <celeryquay/base/log.h>
@@ -523,24 +524,13 @@
 	return !g_hash_table_size(r->sessions);
 }
 
-static void write_service(const struct rservice *v, GString *out,
-			  uint64_t now_us)
-{
-	g_string_append_printf(
-		out,
-		"{\"service\":\"%s\",\"term\":%" G_GUINT64_FORMAT
-		",\"primary\":\"%s\",\"holds\":%s,\"servers\":%u}",
-		v->name, v->term, v->primary ? v->primary->info.id : "",
-		rprimary_lease_holds(v, now_us) ? "true" : "false",
-		v->servers->len);
-}
-
 /* Appends the state as one JSON object. */
 void relay_write_status(struct relay *r, GString *out, uint64_t now_us)
 {
 	GHashTableIter iter;
 	gpointer value;
 	const char *comma = "";
+	GHashTable *conns = rstatus_count_conns(r);
 
 	g_string_append_printf(out,
 			       "{\"sessions\":%u,\"waiting\":%u,"
@@ -550,9 +540,10 @@
 	g_hash_table_iter_init(&iter, r->services);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		g_string_append(out, comma);
-		write_service(value, out, now_us);
+		rstatus_write_service(value, conns, out, now_us);
 		comma = ",";
 	}
+	g_hash_table_destroy(conns);
 	g_string_append(out, "]");
 	if (r->settings.accounts) {
 		g_string_append_printf(
--- a/packages/relay/src/relay_internal.h
+++ b/packages/relay/src/relay_internal.h
@@ -13,7 +13,7 @@
  * sessions go through, raccount_ client accounts, rlimit_ their limits,
  * rgrantor_ the proxies that grant tokens of these, routlier_ servers that fail
  * in part, inflight_ limits of what is in flight at a server, rlog_ log lines,
- * rmetrics_ metrics.
+ * rmetrics_ metrics, rstatus_ what /status says.
  */
 
 #include <celeryquay/base/log_event.h>
--- a/packages/relay/src/role.c
+++ b/packages/relay/src/role.c
@@ -236,6 +236,14 @@
 	return v->homes;
 }
 
+/* Whether this proxy is a home by its rank, and not as a spare. */
+bool role_is_ranked_home(const struct rservice *v)
+{
+	return v->is_home &&
+	       v->rank.n_ranked_before <
+		       homes_wanted(v, role_proxy_count(v->relay));
+}
+
 /* The names of the spares; see via.c. */
 GPtrArray *role_spares(struct rservice *v)
 {
--- a/packages/relay/src/run.c
+++ b/packages/relay/src/run.c
@@ -197,6 +197,7 @@
 	run->writes = false;
 	run->sent = false;
 	run->tries = 0;
+	run->forecast_us = 0; /* the last statement's, for log lines */
 	run->arrived_us = now_us;
 	run->deadline_us = now_us;
 }
--- a/packages/relay/src/scheduler.c
+++ b/packages/relay/src/scheduler.c
@@ -9,6 +9,8 @@
 #include <celeryquay/sched/queue.h>
 #include <celeryquay/sched/speed.h>
 
+#include <string.h>
+
 /* An account's weight, by the priority that operators give it. */
 #define WEIGHT_HIGHEST 4
 #define WEIGHT_SECOND 2
@@ -325,12 +327,13 @@
 {
 	struct status_text *t = ctx;
 
-	g_string_append_printf(
-		t->out,
-		"%s{\"account\":\"%s\",\"priority\":%u,"
-		"\"statements\":%u,\"work_ms\":%" G_GUINT64_FORMAT "}",
-		t->comma, count->account, count->priority, count->n,
-		count->work_us / USEC_PER_MSEC);
+	g_string_append_printf(t->out, "%s{\"account\":", t->comma);
+	log_append_json_string(t->out, count->account, strlen(count->account));
+	g_string_append_printf(t->out,
+			       ",\"priority\":%u,\"statements\":%u,"
+			       "\"work_ms\":%" G_GUINT64_FORMAT "}",
+			       count->priority, count->n,
+			       count->work_us / USEC_PER_MSEC);
 	t->comma = ",";
 }
 
