cli: causes and explain name refusals by the queue's forecast

Where homes are pooled a statement is refused by the forecast of its wait, or since no server is usable, and the entry passes the home's text on. `causes` took these for connections that were awaited, at the entry as at the home.

`causes` has overload-forecast and no-usable-server now. For the second the servers' states still win where they say more: no primary, being replaced, not confirmed, down, behind. A refusal that an entry passed on is recognised by its last server, which is a home and not among the failed tries, and counted by the home's line. `explain` prints the cause below the outcome, from the home's line if that refused, and shows homes-pooled among what a proxy believed.

--- a/packages/cli/src/causes.c
+++ b/packages/cli/src/causes.c
@@ -20,6 +20,8 @@
 	CAUSE_OVERLOAD,
 	CAUSE_NO_CONNECTION,
 	CAUSE_AWAITS_CONNECTION,
+	CAUSE_FORECAST,
+	CAUSE_NO_SERVER,
 	CAUSE_LAGGING,
 	CAUSE_NO_HOME,
 	CAUSE_SERVER_LOST,
@@ -55,6 +57,12 @@
 	[CAUSE_AWAITS_CONNECTION] = { "connection-awaited",
 				      "others came first, or a "
 				      "connection was being opened" },
+	[CAUSE_FORECAST] = { "overload-forecast",
+			     "by the forecast of the queue it would not have "
+			     "been served in time" },
+	[CAUSE_NO_SERVER] = { "no-usable-server",
+			      "no server that may run it was usable, and none "
+			      "was expected in time" },
 	[CAUSE_LAGGING] = { "too-fresh",
 			    "servers lack the writes that a read must see" },
 	[CAUSE_NO_HOME] = { "no-home",
@@ -185,8 +193,33 @@
 	return lagging ? CAUSE_LAGGING : CAUSE_OTHER;
 }
 
+/*
+ * Why a home whose queue forecasts waits refused the statement. Where no server
+ * was usable, the servers' states may say why.
+ */
+static enum cause cause_of_forecast(enum log_refusal refusal, JsonObject *line,
+				    JsonArray *servers)
+{
+	enum cause cause;
+
+	if (refusal == LOG_REFUSAL_OVERLOAD)
+		return CAUSE_FORECAST;
+	cause = servers ? cause_of_servers(line, servers) : CAUSE_NO_SERVER;
+	switch (cause) {
+	case CAUSE_NO_PRIMARY:
+	case CAUSE_BEING_REPLACED:
+	case CAUSE_NOT_CONFIRMED:
+	case CAUSE_SERVERS_DOWN:
+	case CAUSE_LAGGING:
+		return cause;
+	default:
+		return CAUSE_NO_SERVER;
+	}
+}
+
 static enum cause cause_of(JsonObject *line)
 {
+	enum log_refusal refusal = log_lines_refusal(line);
 	const char *code = log_lines_text(line, "code");
 	JsonArray *servers = array_member(line, "servers");
 	JsonArray *homes = array_member(line, "homes");
@@ -202,18 +235,54 @@
 		return CAUSE_LAGGING;
 	if (!strcmp(code, "FAILED"))
 		return CAUSE_SERVER_REFUSED;
+	if (refusal)
+		return cause_of_forecast(refusal, line, servers);
 	if (servers)
 		return cause_of_servers(line, servers);
 	return homes ? cause_of_homes(homes) : CAUSE_OTHER;
 }
 
+static bool has_server(JsonArray *rows, const char *server)
+{
+	unsigned i;
+
+	for (i = 0; i < json_array_get_length(rows); i++) {
+		JsonObject *row = json_array_get_object_element(rows, i);
+
+		if (!strcmp(log_lines_text(row, "server"), server))
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Whether the proxy passed the refusal of a home on, in the home's words: the
+ * last server is a home, and its answer is not among the failed tries, after
+ * which the statement would have waited here again.
+ */
+static bool is_passed_on(JsonObject *line, JsonArray *homes)
+{
+	const char *server = log_lines_text(line, "server");
+	JsonArray *tries = array_member(line, "tries");
+	unsigned n = tries ? json_array_get_length(tries) : 0;
+	JsonObject *last = n ? json_array_get_object_element(tries, n - 1) :
+			       NULL;
+
+	return *server && !strcmp(log_lines_text(line, "code"), "BUSY") &&
+	       has_server(homes, server) &&
+	       (!last || strcmp(log_lines_text(last, "server"), server) != 0);
+}
+
 /* Whether a home refused the statement; the home's own log has the cause. */
 static bool is_from_home(JsonObject *line)
 {
 	JsonArray *homes = array_member(line, "homes");
 
-	return homes && !array_member(line, "servers") &&
-	       g_str_has_prefix(log_lines_text(line, "why"), "the home");
+	if (!homes)
+		return false;
+	return is_passed_on(line, homes) ||
+	       (!array_member(line, "servers") &&
+		g_str_has_prefix(log_lines_text(line, "why"), "the home"));
 }
 
 static void add_refusal(struct causes *c, JsonObject *line)
--- a/packages/cli/src/explain.c
+++ b/packages/cli/src/explain.c
@@ -41,6 +41,7 @@
 	{ "word-left-aside", "word", "by" },
 	{ "change", "change", "service" },
 	{ "home", "home", "service" },
+	{ "homes-pooled", "pooling", "service" },
 	{ "feed", "feed", NULL },
 	{ "watcher-left", "watcher-left", "proxy" },
 	{ "server-listed", "list", "server" },
@@ -315,6 +316,50 @@
 	return log_lines_text(outcome, "outcome");
 }
 
+/*
+ * The last line, by time, of a proxy that refused the statement by the forecast
+ * of its queue; NULL: none did. The proxy that the caller is connected to
+ * passes a home's refusal on, so the home's line counts, too.
+ */
+static JsonObject *refusal_of(const struct explain *e)
+{
+	JsonObject *outcome = outcome_of(e), *found = NULL;
+	unsigned i;
+
+	if (!outcome || strcmp(log_lines_text(outcome, "code"), "BUSY") != 0)
+		return NULL;
+	for (i = 0; i < e->matches->len; i++) {
+		const struct match *m = g_ptr_array_index(e->matches, i);
+		JsonObject *line = json_node_get_object(m->line);
+
+		if (!strcmp(log_lines_text(line, "event"), "statement") &&
+		    log_lines_refusal(line))
+			found = line;
+	}
+	return found;
+}
+
+/* The cause that refusal_of() shows; "": none. Freed with g_free(). */
+static char *cause_of(const struct explain *e)
+{
+	JsonObject *line = refusal_of(e);
+
+	if (!line)
+		return g_strdup("");
+	if (log_lines_refusal(line) == LOG_REFUSAL_NO_SERVER)
+		return g_strdup_printf(
+			"no usable server at %s: none that may run it could be "
+			"used, and none was expected in time",
+			log_lines_text(line, "node"));
+	return g_strdup_printf(
+		"overload at %s: with %" G_GINT64_FORMAT
+		" statements in the queue it was expected to wait for %" G_GINT64_FORMAT
+		" ms and to take %" G_GINT64_FORMAT " ms",
+		log_lines_text(line, "node"), log_lines_number(line, "queue"),
+		log_lines_number(line, "expected_wait_ms"),
+		log_lines_number(line, "expected_service_ms"));
+}
+
 static void append_value(GString *out, JsonNode *node)
 {
 	char *text;
@@ -417,10 +462,12 @@
 void explain_write_text(struct explain *e, GString *out)
 {
 	JsonObject *outcome;
+	char *cause;
 	unsigned i;
 
 	sort(e);
 	outcome = outcome_of(e);
+	cause = cause_of(e);
 	g_string_append_printf(out, "%s: ", e->id);
 	if (outcome) {
 		g_string_append_printf(out, "%s (%" G_GINT64_FORMAT "), %s: %s",
@@ -432,6 +479,9 @@
 		g_string_append(out, "no line in these logs has its outcome");
 	}
 	g_string_append_c(out, '\n');
+	if (*cause)
+		g_string_append_printf(out, "cause: %s\n", cause);
+	g_free(cause);
 	for (i = 0; i < e->matches->len; i++) {
 		const struct match *m = g_ptr_array_index(e->matches, i);
 		JsonObject *line = json_node_get_object(m->line);
@@ -468,7 +518,7 @@
 	JsonObject *o = json_object_new();
 	JsonArray *lines = json_array_new();
 	JsonObject *outcome;
-	char *text;
+	char *text, *cause;
 	unsigned i;
 
 	sort(e);
@@ -478,6 +528,9 @@
 		o, "code", outcome ? log_lines_text(outcome, "code") : "");
 	json_object_set_string_member(o, "meaning",
 				      outcome ? meaning_of(outcome) : "");
+	cause = cause_of(e);
+	json_object_set_string_member(o, "cause", cause);
+	g_free(cause);
 	for (i = 0; i < e->matches->len; i++)
 		json_array_add_object_element(
 			lines, json_match(g_ptr_array_index(e->matches, i)));
--- a/packages/cli/src/log_lines.h
+++ b/packages/cli/src/log_lines.h
@@ -31,4 +31,13 @@
 int64_t log_lines_number(JsonObject *line, const char *key);
 bool log_lines_bool(JsonObject *line, const char *key);
 
+/* Why a queue that forecasts waits refused a statement. */
+enum log_refusal {
+	LOG_REFUSAL_NONE, /* it did not, or the line does not tell */
+	LOG_REFUSAL_OVERLOAD, /* it would not have been served in time */
+	LOG_REFUSAL_NO_SERVER, /* no server that may run it was usable */
+};
+/* From the line with a statement's outcome. */
+enum log_refusal log_lines_refusal(JsonObject *line);
+
 #endif
--- a/packages/cli/tests/test_causes.c
+++ b/packages/cli/tests/test_causes.c
@@ -79,6 +79,83 @@
 }
 END_TEST
 
+#define WHY(text) "\"why\":\"" text "\","
+#define NOT_IN_TIME WHY("no server in time; come back in 812 ms")
+#define FORECAST                      \
+	"\"queue\":40,"               \
+	"\"expected_service_ms\":11," \
+	"\"expected_wait_ms\":700,"
+#define NO_SERVER "\"queue\":2,\"expected_wait\":\"no-server\","
+
+/*
+ * A queue that forecasts waits refuses statements while servers are busy or
+ * unusable. Guards against taking that for a connection that was awaited.
+ */
+START_TEST(refusals_by_forecast_are_told_apart)
+{
+	struct err err = { 0 };
+	char *text = causes_of(
+		LINE("1", "false", "BUSY",
+		     NOT_IN_TIME FORECAST SERVERS(
+			     "", "")) LINE("2", "false", "BUSY",
+					   NOT_IN_TIME FORECAST SERVERS(
+						   "at-limit", "lagging"))
+			LINE("3", "false", "BUSY",
+			     NOT_IN_TIME NO_SERVER SERVERS("", ""))
+				LINE("4", "false", "BUSY",
+				     NOT_IN_TIME NO_SERVER SERVERS("down",
+								   "down"))
+					LINE("5", "false", "BUSY",
+					     WHY("the account is at its limit")
+						     FORECAST SERVERS("", "")),
+		true, &err);
+
+	ck_assert(!err.code);
+	ck_assert_ptr_nonnull(
+		strstr(text, "\"overload-forecast\",\"statements\":2"));
+	ck_assert_ptr_nonnull(
+		strstr(text, "\"no-usable-server\",\"statements\":1"));
+	ck_assert_ptr_nonnull(
+		strstr(text, "\"servers-down\",\"statements\":1"));
+	ck_assert_ptr_nonnull(
+		strstr(text, "\"connection-awaited\",\"statements\":1"));
+	g_free(text);
+}
+END_TEST
+
+/*
+ * The home's words are passed on where homes are pooled. Guards against
+ * counting that as a connection to a home that was awaited: the cause is in the
+ * home's line. A statement that was refused in the queue before the homes is of
+ * that queue.
+ */
+START_TEST(refusal_that_is_passed_on_has_the_cause_of_the_home)
+{
+	static const char homes[] = "\"homes\":[" SERVER("") "]";
+	struct err err = { 0 };
+	char *lines = g_strconcat(
+		LINE("1", "true", "BUSY", NOT_IN_TIME FORECAST SERVERS("", "")),
+		"{\"event\":\"statement\",\"id\":\"1\",\"code\":\"BUSY\","
+		"\"server\":\"s\",\"tries\":[]," NOT_IN_TIME,
+		homes, "}\n",
+		"{\"event\":\"statement\",\"id\":\"2\",\"code\":\"BUSY\","
+		"\"server\":\"s\",\"tries\":[{\"server\":\"s\"}]," NOT_IN_TIME,
+		homes, "}\n",
+		"{\"event\":\"statement\",\"id\":\"3\",\"code\":\"BUSY\","
+		"\"server\":\"\"," NOT_IN_TIME,
+		homes, "}\n", NULL);
+	char *text = causes_of(lines, true, &err);
+
+	ck_assert(!err.code);
+	ck_assert_ptr_nonnull(
+		strstr(text, "\"overload-forecast\",\"statements\":1"));
+	ck_assert_ptr_nonnull(
+		strstr(text, "\"connection-awaited\",\"statements\":2"));
+	g_free(text);
+	g_free(lines);
+}
+END_TEST
+
 START_TEST(broken_line_is_reported_and_others_count)
 {
 	struct err err = { 0 };
@@ -99,6 +176,8 @@
 
 	tcase_add_test(tc, each_cause_is_counted);
 	tcase_add_test(tc, cause_of_refusal_is_taken_from_home);
+	tcase_add_test(tc, refusals_by_forecast_are_told_apart);
+	tcase_add_test(tc, refusal_that_is_passed_on_has_the_cause_of_the_home);
 	tcase_add_test(tc, broken_line_is_reported_and_others_count);
 	return suite_main("causes", tc);
 }
--- a/packages/cli/tests/test_explain.c
+++ b/packages/cli/tests/test_explain.c
@@ -406,6 +406,62 @@
 }
 END_TEST
 
+/* The output of `celeryquay explain 7` for these lines. */
+static char *explain_lines(const char *lines)
+{
+	struct explain *e = explain_create("7");
+	GString *out = g_string_new(NULL);
+	FILE *log = fmemopen((char *)lines, strlen(lines), "r");
+	struct err err = { 0 };
+
+	explain_read(e, "log", log, &err);
+	fclose(log);
+	ck_assert_msg(!err.code, "%s", err.message);
+	explain_write_text(e, out);
+	explain_destroy(e);
+	return g_string_free(out, FALSE);
+}
+
+#define AT(time, node) "{\"time\":\"" time "\",\"node\":\"" node "\","
+#define REFUSAL(from)                                                \
+	"\"event\":\"statement\",\"id\":\"7\",\"from_proxy\":" from  \
+	",\"service\":\"group0\",\"code\":\"BUSY\",\"number\":2001," \
+	"\"outcome\":\"not_run\","                                   \
+	"\"why\":\"no server in time; come back in 812 ms\""
+
+/*
+ * A home refuses a statement by the forecast of its queue, and the proxy that
+ * the caller is connected to passes that on. Guards against an answer that says
+ * BUSY and leaves it to the reader to find the home's line.
+ */
+START_TEST(refusal_by_forecast_is_named)
+{
+	char *text = explain_lines(AT(
+		"1",
+		"home") "\"event\":\"homes-pooled\",\"service\":"
+			"\"group0\",\"pooled\":true}\n" AT("2", "home") REFUSAL(
+				"true") ",\"queue\":40,\"expected_service_ms\":11,"
+					"\"expected_wait_ms\":700}\n" AT(
+						"3", "entry")
+						REFUSAL("false") "}\n");
+
+	check_says(text, "cause: overload at home: with 40 statements in the "
+			 "queue it was expected to wait for 700 ms and to take "
+			 "11 ms\n");
+	check_says(text, "homes-pooled service=group0 pooled=true");
+	g_free(text);
+	text = explain_lines(AT("2", "home") REFUSAL(
+		"false") ",\"queue\":0,\"expected_service_ms\":11,"
+			 "\"expected_wait\":\"no-server\"}\n");
+	check_says(text, "cause: no usable server at home:");
+	g_free(text);
+	text = explain_lines(AT("2", "home")
+				     REFUSAL("false") ",\"waiting\":4}\n");
+	ck_assert_ptr_null(strstr(text, "cause:"));
+	g_free(text);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tests = tcase_create("explain");
@@ -421,5 +477,6 @@
 	tcase_add_test(tests, restart_discards_earlier_state);
 	tcase_add_test(tests, memory_does_not_grow_with_the_log);
 	tcase_add_test(tests, docs_list_every_code);
+	tcase_add_test(tests, refusal_by_forecast_is_named);
 	return suite_main("explain", tests);
 }
