cli: celeryquay load shows refusals and waits by second

Nobody could see from the decision logs who was refused or waited in a given second, nor which connections were closed for another account.

--- a/packages/cli/src/cli.h
+++ b/packages/cli/src/cli.h
@@ -37,6 +37,11 @@
 	char *region;
 	int slots;
 	int connections;
+	/* For `load`. */
+	char *second; /* the only second that is shown, or NULL */
+	char *from; /* first second, or NULL */
+	char *to; /* last second, or NULL */
+	int top; /* most rows of a list */
 };
 
 /* Calls the proxy; on failure prints the error and returns its exit code. */
@@ -59,6 +64,7 @@
 enum cli_exit cli_settings_check(struct cli *cli, char **args);
 enum cli_exit cli_explain(struct cli *cli, char **args);
 enum cli_exit cli_causes(struct cli *cli, char **args);
+enum cli_exit cli_load(struct cli *cli, char **args);
 
 /* kind: the kind of the item, such as "profile" or "database". */
 enum cli_exit cli_item_list(struct cli *cli, const char *kind, char **args);
--- a/packages/cli/src/cli_explain.c
+++ b/packages/cli/src/cli_explain.c
@@ -1,6 +1,7 @@
 #include "causes.h"
 #include "cli.h"
 #include "explain.h"
+#include "load.h"
 
 #include <errno.h>
 #include <stdio.h>
@@ -21,6 +22,12 @@
 	causes_read(reader, name, log, err);
 }
 
+static void read_load(void *reader, const char *name, FILE *log,
+		      struct err *err)
+{
+	load_read(reader, name, log, err);
+}
+
 /* Reads one log, "-" for standard input; prints what is wrong with it. */
 static enum cli_exit read_log(read_fn read, void *reader, const char *name)
 {
@@ -93,3 +100,68 @@
 	causes_destroy(c);
 	return code;
 }
+
+/* Reads the time given with an option; NULL: not given, *out stays. */
+static enum cli_exit read_second(const char *option, const char *text,
+				 int64_t *out)
+{
+	if (!text || load_parse_second(text, out))
+		return CLI_OK;
+	return cli_fail(CLI_USAGE,
+			"--%s: expected a time such as 2026-12-02T19:38:31 "
+			"(UTC) or seconds since 1970, got \"%s\"",
+			option, text);
+}
+
+static enum cli_exit read_range(const struct cli *cli, struct load_range *range)
+{
+	enum cli_exit code;
+
+	if (cli->top < 1)
+		return cli_fail(CLI_USAGE, "--top: expected 1 or more, got %d",
+				cli->top);
+	if (cli->second && (cli->from || cli->to))
+		return cli_fail(CLI_USAGE, "--second: expected without --from "
+					   "and --to");
+	*range = (struct load_range){ .from_s = INT64_MIN,
+				      .to_s = INT64_MAX,
+				      .top = (unsigned)cli->top };
+	code = read_second("second", cli->second, &range->from_s);
+	if (!code && cli->second)
+		range->to_s = range->from_s;
+	if (!code)
+		code = read_second("from", cli->from, &range->from_s);
+	if (!code)
+		code = read_second("to", cli->to, &range->to_s);
+	if (!code && range->from_s > range->to_s)
+		code = cli_fail(CLI_USAGE,
+				"--to: expected no time before --from");
+	return code;
+}
+
+/* load FILE...: what was refused and what waited, by second. */
+enum cli_exit cli_load(struct cli *cli, char **args)
+{
+	struct load_range range;
+	struct load *l;
+	GString *out;
+	enum cli_exit code = read_range(cli, &range);
+	unsigned i;
+
+	if (code)
+		return code;
+	l = load_create(&range);
+	out = g_string_new(NULL);
+	for (i = 0; args[i]; i++) {
+		if (read_log(read_load, l, args[i]) != CLI_OK)
+			code = CLI_FAILED;
+	}
+	if (cli->json)
+		load_write_json(l, out);
+	else
+		load_write_text(l, out);
+	fputs(out->str, stdout);
+	g_string_free(out, TRUE);
+	load_destroy(l);
+	return code;
+}
--- a/packages/cli/src/main.c
+++ b/packages/cli/src/main.c
@@ -10,6 +10,7 @@
 /* Defaults of --slots and --connections, for `upstream add`. */
 #define DEFAULT_SLOTS 3
 #define DEFAULT_CONNECTIONS 20
+#define DEFAULT_TOP 10 /* of --top, for `load` */
 
 typedef enum cli_exit (*command_fn)(struct cli *cli, char **args);
 typedef enum cli_exit (*item_fn)(struct cli *cli, const char *kind,
@@ -56,6 +57,7 @@
 	{ { "settings", "check" }, "FILE", 1, 1, cli_settings_check },
 	{ { "explain", NULL }, "ID FILE|-...", 2, 10000, cli_explain },
 	{ { "causes", NULL }, "FILE|-...", 1, 10000, cli_causes },
+	{ { "load", NULL }, "FILE|-...", 1, 10000, cli_load },
 };
 
 static const char *const kinds[] = { "profile", "database", "caller",
@@ -208,6 +210,14 @@
 		  "Concurrent statements on the server to add", "N" },
 		{ "connections", 0, 0, G_OPTION_ARG_INT, &cli->connections,
 		  "Connection limit of the server to add", "N" },
+		{ "second", 0, 0, G_OPTION_ARG_STRING, &cli->second,
+		  "Show the load of this second alone", "TIME" },
+		{ "from", 0, 0, G_OPTION_ARG_STRING, &cli->from,
+		  "Show the load from this second on", "TIME" },
+		{ "to", 0, 0, G_OPTION_ARG_STRING, &cli->to,
+		  "Show the load up to this second", "TIME" },
+		{ "top", 0, 0, G_OPTION_ARG_INT, &cli->top,
+		  "Most rows in each list of a second (10)", "N" },
 		{ "version", 'V', 0, G_OPTION_ARG_NONE, &o->version,
 		  "Print the version and exit", NULL },
 		{ G_OPTION_REMAINING, 0, 0, G_OPTION_ARG_STRING_ARRAY, &o->rest,
@@ -253,7 +263,7 @@
 {
 	return !strcmp(args[0], "settings") || !strcmp(args[0], "token") ||
 	       !strcmp(args[0], "peer-key") || !strcmp(args[0], "explain") ||
-	       !strcmp(args[0], "causes");
+	       !strcmp(args[0], "causes") || !strcmp(args[0], "load");
 }
 
 static void apply_options(struct cli *cli, const struct options *o)
@@ -290,6 +300,7 @@
 	struct cli cli = {
 		.slots = DEFAULT_SLOTS,
 		.connections = DEFAULT_CONNECTIONS,
+		.top = DEFAULT_TOP,
 	};
 	enum cli_exit code = CLI_USAGE;
 
@@ -304,6 +315,9 @@
 	g_free(options.token_file);
 	g_free(cli.data_centre);
 	g_free(cli.region);
+	g_free(cli.second);
+	g_free(cli.from);
+	g_free(cli.to);
 	g_free(cli.ca_file);
 	g_free(cli.token);
 	g_free(cli.host);
