relay: waiting statements include those of pooled homes

celeryquay_relay_waiting and "waiting" in /status counted the queue of wait.c alone, so a home of a pooled service with a full queue showed 0. Both add the queues of the scheduler.

Result: relay_test_status checks the sum; relay_test_metrics passes.

--- a/packages/relay/src/relay.c
+++ b/packages/relay/src/relay.c
@@ -536,7 +536,8 @@
 			       "{\"sessions\":%u,\"waiting\":%u,"
 			       "\"connections\":%u,\"services\":[",
 			       g_hash_table_size(r->sessions),
-			       r->waiting.length, g_hash_table_size(r->conns));
+			       r->waiting.length + rsched_waiting(r),
+			       g_hash_table_size(r->conns));
 	g_hash_table_iter_init(&iter, r->services);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		g_string_append(out, comma);
--- a/packages/relay/src/rmetrics.c
+++ b/packages/relay/src/rmetrics.c
@@ -4,6 +4,7 @@
  * lines per scrape and kind, and latency targets are set per kind.
  */
 #include "relay_internal.h"
+#include "scheduler.h"
 
 struct rmetrics {
 	struct counter *statement[RELAY_KINDS][RELAY_OUTCOMES];
@@ -220,7 +221,7 @@
 			n++;
 	counter_set(r->metrics->sessions, g_hash_table_size(r->sessions));
 	counter_set(r->metrics->transactions, n);
-	counter_set(r->metrics->waiting, r->waiting.length);
+	counter_set(r->metrics->waiting, r->waiting.length + rsched_waiting(r));
 }
 
 static void set_connections(const struct relay *r)
--- a/packages/relay/src/scheduler.c
+++ b/packages/relay/src/scheduler.c
@@ -318,6 +318,22 @@
 			s->run.forecast_us / USEC_PER_MSEC);
 }
 
+unsigned rsched_waiting(const struct relay *r)
+{
+	unsigned n = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, r->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct rservice *v = value;
+
+		if (v->sched)
+			n += squeue_length(v->sched->queue);
+	}
+	return n;
+}
+
 struct status_text {
 	GString *out;
 	const char *comma;
--- a/packages/relay/src/scheduler.h
+++ b/packages/relay/src/scheduler.h
@@ -37,6 +37,8 @@
 			      const struct rsession *s, uint64_t now_us);
 /* Adds what the decision on the session's statement rests on. */
 void rsched_put_inputs(const struct rsession *s, struct log_line *l);
+/* Statements that wait at this proxy as a home, at all services. */
+unsigned rsched_waiting(const struct relay *r);
 /* Appends the queue of a service, as JSON members. */
 void rsched_write_status(const struct rservice *v, GString *out);
 
--- a/packages/relay/tests/test_status.c
+++ b/packages/relay/tests/test_status.c
@@ -180,6 +180,9 @@
 			(unsigned)json_object_get_int_member(a, "statements");
 	}
 	ck_assert_uint_gt(n_queued, 0);
+	ck_assert_int_eq(json_object_get_int_member(json_node_get_object(root),
+						    "waiting"),
+			 n_queued);
 	json_node_unref(root);
 	fake_run(f, 5 * USEC_PER_SEC);
 	end(f);
