--- a/packages/relay/src/conn.c
+++ b/packages/relay/src/conn.c
@@ -465,6 +465,8 @@
 					  UNKNOWN_DATABASE_BACKOFF_US :
 					  REFUSED_BACKOFF_US);
 		log_open_refused(s, answer);
+		if (answer->code == RELAY_TOO_MANY && s->service->pooled)
+			rserver_probe_soon(s);
 		s->heard_us = now_us;
 		remove_conn(c);
 		rwait_dispatch(r, now_us);
--- a/packages/relay/src/connlimit.c
+++ b/packages/relay/src/connlimit.c
@@ -23,6 +23,8 @@
  * are used most anyway, and a new one costs a slot 12 ms.
  */
 #define ACCOUNT_IDLE_CLOSE_US (10 * USEC_PER_SEC)
+/* A count of a server's connections older than this is asked for again. */
+#define COUNT_MAX_AGE_US USEC_PER_SEC
 /* Idle time after which a spare connection to a nearly full server closes. */
 #define NEARLY_FULL_CLOSE_US (600 * USEC_PER_MSEC)
 
@@ -220,6 +222,17 @@
 	return n;
 }
 
+/*
+ * How many connections others have decides at the limit. A server's status may
+ * be 10 s old, and the proxy that held most of them gone since.
+ */
+static void ask_for_count(struct rserver *s, uint64_t now_us)
+{
+	if (s->service->pooled && !s->service->peers &&
+	    now_us > s->status_at_us + COUNT_MAX_AGE_US)
+		rserver_probe_soon(s);
+}
+
 /* Opens a connection for the session, if it may and if that is worth it. */
 void connlimit_open(struct rserver *s, const struct rsession *session,
 		    uint64_t now_us)
@@ -233,6 +246,7 @@
 			       session->run.wait.cost_us))
 		return;
 	if (!connlimit_may_open(s, now_us)) {
+		ask_for_count(s, now_us);
 		if (!has_victim(s, now_us))
 			return;
 		close_for(s, account, now_us);
