relay: names of homes follow a change of capacities

When a proxy announced another capacity, ranks were computed anew, but the names of a service's homes were kept until a proxy came or went. So a proxy sent statements to the homes of before, and a home compared its new rank with their order. A changed weight now counts as a change of the list.

--- a/packages/relay/src/peer.c
+++ b/packages/relay/src/peer.c
@@ -223,7 +223,7 @@
 	reweigh |= rplace_update(r);
 	if (reweigh)
 		rank_all_anew(r);
-	if (added->len || removed->len)
+	if (added->len || removed->len || reweigh)
 		r->n_peer_changes++;
 	g_ptr_array_unref(added);
 	g_ptr_array_unref(removed);
