relay: queues of services that lost their home are still served

The statements that wait for a service's servers were started only while the service was among those that the tick runs. When this proxy stopped being a home of it, they waited until they were refused; before, the next event sent them through a home, or made this proxy a spare. While no server was up they were not tried either, so that they were refused as busy rather than sent through another home or reported as cut off. The relay now keeps a list of the services with a queue, which also replaces the walk over all services at each tick, and counts the statements in them: the gauge, the status and the logs counted only those of the other queue.

--- a/packages/relay/src/relay.c
+++ b/packages/relay/src/relay.c
@@ -98,6 +98,7 @@
 	r->knows_fleet = true; /* until the first list of proxies */
 	r->served = g_ptr_array_new();
 	r->active = g_ptr_array_new();
+	r->scheduled = g_ptr_array_new();
 	r->feed_source = feed_source_create(r->name, r->zone);
 	if (settings->accounts)
 		feed_source_set_max_age(r->feed_source,
@@ -138,6 +139,7 @@
 	g_hash_table_destroy(r->servers);
 	peers_clear(r);
 	g_ptr_array_unref(r->active);
+	g_ptr_array_unref(r->scheduled);
 	feed_source_destroy(r->feed_source);
 	rplace_destroy(r->place);
 	relay_catalog_unref(r->catalog);
@@ -546,7 +548,8 @@
 			       "{\"sessions\":%u,\"waiting\":%u,"
 			       "\"connections\":%u,\"services\":[",
 			       g_hash_table_size(r->sessions),
-			       r->waiting.length, g_hash_table_size(r->conns));
+			       r->waiting.length + r->n_scheduled,
+			       g_hash_table_size(r->conns));
 	g_hash_table_iter_init(&iter, r->services);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		g_string_append(out, comma);
--- a/packages/relay/src/relay_internal.h
+++ b/packages/relay/src/relay_internal.h
@@ -415,6 +415,8 @@
 	uint64_t peers_grew_at_us;
 	GPtrArray *served; /* struct rservice that the tick runs; see role.c */
 	GPtrArray *active; /* struct rserver that the tick runs */
+	GPtrArray *scheduled; /* struct rservice with a queue; scheduler.c */
+	unsigned n_scheduled; /* statements in these queues */
 	struct feed_source *feed_source;
 	struct rplace *place;
 	/* A list of proxies that is not applied yet, NULL: none; see peer.c */
--- a/packages/relay/src/rlog.c
+++ b/packages/relay/src/rlog.c
@@ -150,7 +150,7 @@
 	if (r->settings.accounts)
 		log_u64(l, "keys_ms", ms(raccount_keys_age_us(r, now_us)));
 	log_bool(l, "store_up", !r->store_lost);
-	log_u64(l, "waiting", r->waiting.length);
+	log_u64(l, "waiting", r->waiting.length + r->n_scheduled);
 }
 
 /* All that decided which server runs the statement, if any. */
--- a/packages/relay/src/rmetrics.c
+++ b/packages/relay/src/rmetrics.c
@@ -220,7 +220,7 @@
 			n++;
 	counter_set(r->metrics->sessions, g_hash_table_size(r->sessions));
 	counter_set(r->metrics->transactions, n);
-	counter_set(r->metrics->waiting, r->waiting.length);
+	counter_set(r->metrics->waiting, r->waiting.length + r->n_scheduled);
 }
 
 static void set_connections(const struct relay *r)
--- a/packages/relay/src/scheduler.c
+++ b/packages/relay/src/scheduler.c
@@ -56,8 +56,10 @@
 /* The queue of a service; created on first use. */
 static struct rsched *sched_of(struct rservice *v)
 {
-	if (!v->sched)
+	if (!v->sched) {
 		v->sched = rsched_create();
+		g_ptr_array_add(v->relay->scheduled, v);
+	}
 	return v->sched;
 }
 
@@ -107,6 +109,7 @@
 	};
 	run->state = RRUN_QUEUED;
 	run->queued_at = v;
+	s->relay->n_scheduled++;
 	squeue_push(q->queue, &run->wait, now_us);
 }
 
@@ -119,26 +122,36 @@
 {
 	squeue_start(s->run.queued_at->sched->queue, &s->run.wait);
 	s->run.queued_at = NULL;
+	s->relay->n_scheduled--;
 }
 
 void rsched_cancel(struct rsession *s)
 {
 	squeue_cancel(s->run.queued_at->sched->queue, &s->run.wait);
 	s->run.queued_at = NULL;
+	s->relay->n_scheduled--;
 }
 
-/* Whether no server of the service can take one more statement now. */
+/*
+ * Whether no server of the service can take one more statement now. If none is
+ * up, the statements have to be tried: they may go through another home, or be
+ * refused since this one is cut off.
+ */
 static bool is_full(const struct rservice *v)
 {
+	bool is_any_up = false;
 	unsigned i;
 
 	for (i = 0; i < v->servers->len; i++) {
 		const struct rserver *s = rservice_server(v, i);
 
-		if (rserver_is_up(s) && !inflight_is_full(s))
+		if (!rserver_is_up(s))
+			continue;
+		if (!inflight_is_full(s))
 			return false;
+		is_any_up = true;
 	}
-	return true;
+	return is_any_up;
 }
 
 static void dispatch(struct rservice *v, uint64_t now_us)
@@ -157,10 +170,10 @@
 {
 	unsigned i;
 
-	for (i = 0; i < r->served->len; i++) {
-		struct rservice *v = g_ptr_array_index(r->served, i);
+	for (i = 0; r->n_scheduled && i < r->scheduled->len; i++) {
+		struct rservice *v = g_ptr_array_index(r->scheduled, i);
 
-		if (v->sched && squeue_length(v->sched->queue))
+		if (squeue_length(v->sched->queue))
 			dispatch(v, now_us);
 	}
 }
@@ -255,14 +268,12 @@
  */
 void rsched_tick(struct relay *r, uint64_t now_us)
 {
-	GHashTableIter iter;
-	gpointer value;
+	unsigned i;
 
-	g_hash_table_iter_init(&iter, r->services);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct rservice *v = value;
+	for (i = 0; r->n_scheduled && i < r->scheduled->len; i++) {
+		struct rservice *v = g_ptr_array_index(r->scheduled, i);
 
-		if (v->sched && squeue_length(v->sched->queue) &&
+		if (squeue_length(v->sched->queue) &&
 		    now_us >= v->sched->checked_at_us + CHECK_INTERVAL_US)
 			check_all(v, now_us);
 	}
