relay: statements for a busy primary don't keep reads from replicas

After 16 statements that could not start, an event left the rest of the queue for the next one. Urgent writes wait first in the queue; with 16 of them before a primary that is busy or being replaced, no read started at the replicas although these had free slots. Failed starts are now counted apart for statements that only the primary may run, and statements that back off, or wait for a busy primary, are passed over. At most 256 are looked at for one event.

--- a/packages/relay/src/scheduler.c
+++ b/packages/relay/src/scheduler.c
@@ -20,11 +20,14 @@
  */
 #define COST_MARGIN 2
 /*
- * Statements for which no connection is found at one event; the next event goes
- * on from the first again. It bounds the work of an answer while many accounts
- * wait for connections.
+ * Statements for which no connection is found at one event, of those that only
+ * the primary may run and of the others; the next event goes on from the first
+ * again. It bounds the work of an answer while many accounts wait for
+ * connections.
  */
 #define MAX_FAILED_STARTS 16
+/* Statements that are looked at for one event; most are passed over. */
+#define MAX_LOOKED_AT 256
 /* Interval between two checks of all that waits. */
 #define CHECK_INTERVAL_US (20 * USEC_PER_MSEC)
 
@@ -154,15 +157,34 @@
 	return is_any_up;
 }
 
+/* Whether it is known that the statement can't start now. */
+static bool is_held(const struct rservice *v, const struct squeue_entry *e,
+		    uint64_t now_us)
+{
+	const struct rsession *s = e->user;
+
+	return now_us < s->run.again_us ||
+	       (e->primary_only && v->primary && rserver_is_up(v->primary) &&
+		inflight_is_full(v->primary));
+}
+
+/*
+ * Statements for the primary that can't start must not keep reads from the
+ * slots of replicas, so failures are counted for each of the two kinds.
+ */
 static void dispatch(struct rservice *v, uint64_t now_us)
 {
 	struct squeue_entry *e = squeue_first(v->sched->queue, now_us), *next;
-	unsigned n_failed = 0;
+	unsigned n_failed[2] = { 0 }, n;
+
+	for (n = 0; e && n < MAX_LOOKED_AT && !is_full(v); n++, e = next) {
+		unsigned *failed = &n_failed[e->primary_only];
 
-	for (; e && n_failed < MAX_FAILED_STARTS && !is_full(v); e = next) {
 		next = squeue_next(e);
+		if (*failed == MAX_FAILED_STARTS || is_held(v, e, now_us))
+			continue;
 		rrun_try_start(e->user, now_us);
-		n_failed += e->at != NULL;
+		*failed += e->at != NULL;
 	}
 }
 
