relay: accounts are charged once, and refusals don't count as speed

The first statement of a transaction was charged to its account twice: its expected service time when it was queued, and all of the measured one. Refusals, which take a round trip, lowered the expected service time of their profile and made the server look fast.

--- a/packages/relay/src/conn.c
+++ b/packages/relay/src/conn.c
@@ -471,7 +471,7 @@
 		return;
 	routlier_on_answer(&s->outlier, code, now_us);
 	if (c->session)
-		rsched_on_answer(c->session, s, took_us, now_us);
+		rsched_on_answer(c->session, s, code, took_us, now_us);
 	if (c->session)
 		profile = relay_catalog_profile(c->relay->catalog,
 						c->session->database);
--- a/packages/relay/src/scheduler.c
+++ b/packages/relay/src/scheduler.c
@@ -301,20 +301,23 @@
 	}
 }
 
+/*
+ * The account has paid the expected service time if the statement was queued;
+ * statements of a transaction after the first are not. A refusal takes less
+ * than a statement that runs, and says nothing about the server's speed.
+ */
 void rsched_on_answer(const struct rsession *s, const struct rserver *server,
-		      uint64_t took_us, uint64_t now_us)
+		      enum relay_code code, uint64_t took_us, uint64_t now_us)
 {
 	struct rservice *v = server->service;
-	uint64_t expected_us = 0;
 
 	if (!v->pooled)
 		return;
-	if (s->state == 'I')
-		expected_us = s->run.wait.cost_us;
-	sspeed_note(sched_of(v)->speed, server->info.id, s->database, took_us,
-		    now_us);
-	squeue_charge(v->sched->queue, s->account, weight_of(s), expected_us,
-		      took_us);
+	if (code == RELAY_OK)
+		sspeed_note(sched_of(v)->speed, server->info.id, s->database,
+			    took_us, now_us);
+	squeue_charge(sched_of(v)->queue, s->account, weight_of(s),
+		      s->run.wait.cost_us, took_us);
 }
 
 uint64_t rsched_completion_us(const struct rserver *server,
--- a/packages/relay/src/scheduler.h
+++ b/packages/relay/src/scheduler.h
@@ -31,7 +31,7 @@
 void rsched_tick(struct relay *r, uint64_t now_us);
 /* A server of the service answered the session's statement. */
 void rsched_on_answer(const struct rsession *s, const struct rserver *server,
-		      uint64_t took_us, uint64_t now_us);
+		      enum relay_code code, uint64_t took_us, uint64_t now_us);
 /* When the server would be done with the run, and its account's preference. */
 uint64_t rsched_completion_us(const struct rserver *server,
 			      const struct rsession *s, uint64_t now_us);
