relay: a standby forwards the refusal of the first home

A standby that got BUSY from the first home queued the statement again and ran it on connections of its own, as a home does that goes round a partition. So callers of the standbys passed the queue that all others wait in, and added to the overload that the refusal was for. They now get the first home's answer with its time to retry, like callers of proxies that are no home.

--- a/packages/relay/src/via.c
+++ b/packages/relay/src/via.c
@@ -448,7 +448,8 @@
  * A home refused a statement as no server could take it in time. True: another
  * home may be tried. That is so only if this proxy is a home that goes round a
  * partition, as the home that it asked may be cut off, too. A proxy that is no
- * home must not try another one: that would add to an overload.
+ * home must not try another one, and a standby must not run the statement
+ * itself: that would add to an overload.
  */
 bool via_may_try_another(const struct rsession *s, struct rserver *home)
 {
@@ -456,7 +457,9 @@
 		registry_service_of_database(s->relay, s->database);
 
 	home->latency_us += REFUSAL_PENALTY_US;
-	return v && v->is_home && s->run.tries + 1 < HELP_TRIES;
+	if (!v || !v->is_home || (v->pooled && v->rank.n_ranked_before))
+		return false;
+	return s->run.tries + 1 < HELP_TRIES;
 }
 
 /*
