relay: a queue timeout of another proxy is not taken for the time left

A proxy for which a service's homes are not pooled, since it is of an older version or its list differs, tells a home its queue timeout, a part of the latency target. A pooled home took it for all the time that the statement has left: it refused what had to wait at all, and ended statements that were running after that time, so that writes were left in doubt. A time no longer than the queue timeout now counts as not given.

--- a/packages/relay/src/wait.c
+++ b/packages/relay/src/wait.c
@@ -79,15 +79,20 @@
 }
 
 /*
- * Time that the statement has spent elsewhere, on its way here. A proxy that
- * leaves it to a home says how much of its time is left.
+ * Time that the statement has spent elsewhere, on its way here. A proxy for
+ * which the homes are pooled says how much of the statement's time is left. One
+ * of an older version, or one whose list still differs, gives its queue timeout
+ * instead, which is shorter: taken for the time left, it would end statements
+ * that run, and leave writes in doubt. So a short time counts as not given; the
+ * other proxy closes its session when it waits no longer.
  */
 static uint64_t elapsed_us(const struct relay_profile *profile,
 			   uint64_t wait_us)
 {
-	return wait_us && wait_us < profile->timeout_us ?
-		       profile->timeout_us - wait_us :
-		       0;
+	if (wait_us <= queue_timeout_us(profile, false) ||
+	    wait_us >= profile->timeout_us)
+		return 0;
+	return profile->timeout_us - wait_us;
 }
 
 /*
