--- a/packages/relay/src/via.c
+++ b/packages/relay/src/via.c
@@ -508,7 +508,8 @@
 		struct rserver *s =
 			find_listed(via, g_ptr_array_index(names, i));
 
-		if (!s)
+		/* One that was never connected to has not been bad. */
+		if (!s || (!s->heard_us && !s->failing_since_us))
 			continue;
 		splace_home_note(&s->home,
 				 rserver_is_up(s) && !is_bad_home(s, now_us),
