--- a/packages/relay/tests/support_group.h
+++ b/packages/relay/tests/support_group.h
@@ -165,6 +165,7 @@
 	uint64_t duty_revision; /* revision of the duty record, 0: no claim */
 	char duty_holder[8]; /* name of the relay that claimed last */
 	bool accounts; /* callers have keys; see support_accounts.c */
+	bool pooled; /* the homes of the services are */
 	uint64_t config_version;
 	uint64_t key_revoked_at_us[FAKE_ACCOUNTS]; /* when the account's key was
 						    * revoked, 0: it is valid */
@@ -194,6 +195,13 @@
 /* The same with client accounts, and relays that know each other. */
 struct fake *fake_create_accounts(uint32_t seed, unsigned n_relays,
 				  unsigned n_groups);
+/*
+ * FAKE_POOLED_RELAYS relays that know each other and one group, the homes of
+ * which are pooled: with that many connections it would have five of them.
+ */
+#define FAKE_POOLED_RELAYS 11
+#define FAKE_POOLED_CONNECTIONS 26
+struct fake *fake_create_pooled(uint32_t seed, bool accounts);
 void fake_destroy(struct fake *f);
 void fake_run(struct fake *f, uint64_t us);
 bool fake_step(struct fake *f, uint64_t until_us);
--- a/packages/relay/tests/support_platform.c
+++ b/packages/relay/tests/support_platform.c
@@ -789,6 +789,8 @@
 	settings.zone = "a";
 	if (f->accounts)
 		accounts_settings(&settings);
+	if (f->pooled)
+		settings.home_pooling = SPLACE_ON;
 	r->relay = relay_create(&settings, &ops, r, r->counters, f->rng,
 				f->now_us);
 	relay_on_catalog(r->relay, catalog, f->now_us);
@@ -970,7 +972,7 @@
 
 /* Creates idle groups and relays, and schedules their periodic events. */
 static struct fake *create(uint32_t seed, unsigned n_relays, unsigned n_groups,
-			   bool accounts)
+			   bool accounts, bool pooled)
 {
 	struct fake *f = g_new0(struct fake, 1);
 	struct relay_catalog *catalog;
@@ -980,8 +982,12 @@
 	f->rng = g_rand_new_with_seed(seed);
 	f->n_relays = n_relays;
 	f->n_groups = n_groups;
-	f->accounts = f->homes = accounts;
+	f->accounts = accounts;
+	f->pooled = pooled;
+	f->homes = accounts || pooled;
 	f->max_connections = n_relays > 4 ? 10 : 20;
+	if (pooled)
+		f->max_connections = FAKE_POOLED_CONNECTIONS;
 	f->promote_duration_us = 1000 * MS;
 	f->events = fake_events_create();
 	f->conns = fake_conns_create();
@@ -1006,13 +1012,18 @@
 
 struct fake *fake_create(uint32_t seed, unsigned n_relays, unsigned n_groups)
 {
-	return create(seed, n_relays, n_groups, false);
+	return create(seed, n_relays, n_groups, false, false);
+}
+
+struct fake *fake_create_pooled(uint32_t seed, bool accounts)
+{
+	return create(seed, FAKE_POOLED_RELAYS, 1, accounts, true);
 }
 
 struct fake *fake_create_accounts(uint32_t seed, unsigned n_relays,
 				  unsigned n_groups)
 {
-	return create(seed, n_relays, n_groups, true);
+	return create(seed, n_relays, n_groups, true, false);
 }
 
 /* Frees the fake and its relays. */
