relay: no connection is opened beyond the limit if none was closed for it

Where no idle connection was to be given up for an account, one was opened all the same. The choice always finds one today, so nothing else changes.

--- a/packages/relay/src/connlimit.c
+++ b/packages/relay/src/connlimit.c
@@ -179,17 +179,23 @@
 	log_event_end(l);
 }
 
-/* Closes an idle connection so that the account can have one. */
-static void close_for(struct rserver *s, const char *account, uint64_t now_us)
+/*
+ * Closes an idle connection so that the account can have one. False: there is
+ * none to close.
+ */
+static bool close_for(struct rserver *s, const char *account, uint64_t now_us)
 {
 	struct rconn *c = g_queue_peek_tail(&s->idle);
 
+	if (!has_victim(s, now_us))
+		return false;
 	if (s->service->pooled && s->usage)
 		c = least_used(s, account, now_us);
 	if (!c)
-		return;
+		return false;
 	log_closed(c, account, now_us);
 	rconn_close(c);
+	return true;
 }
 
 /* Whether the run can get a connection to the server, now or soon. */
@@ -232,12 +238,8 @@
 	    !sconn_should_open(count_busy(s, account), 0, 1,
 			       session->run.wait.cost_us))
 		return;
-	if (!connlimit_may_open(s, now_us)) {
-		if (!has_victim(s, now_us))
-			return;
-		close_for(s, account, now_us);
-	}
-	rconn_open(s, account, now_us);
+	if (connlimit_may_open(s, now_us) || close_for(s, account, now_us))
+		rconn_open(s, account, now_us);
 }
 
 /* Counts a use of the account's connections. */
