--- a/packages/relay/src/conn.c
+++ b/packages/relay/src/conn.c
@@ -27,6 +27,7 @@
 #define STUCK_LATENCIES 6
 /* How much longer an answer that no session waits for any more may take. */
 #define ABANDONED_ANSWER_US (150 * USEC_PER_MSEC)
+
 /* Starts to open a connection for an account; "": for the proxy itself. */
 struct rconn *rconn_open(struct rserver *s, const char *account,
 			 uint64_t now_us)
--- a/packages/relay/src/run.c
+++ b/packages/relay/src/run.c
@@ -399,10 +399,7 @@
 	return true;
 }
 
-/*
- * A server shed the statement. Once its queue timeout is over it is refused at
- * once. Retries against an overloaded server would go on otherwise, and the
- * caller would be told to retry when its latency target is nearly used up.
+/* A server shed the statement; enqueue_retry() refuses it after the last try.
  */
 static void on_shed(struct rsession *s, struct rserver *server, uint64_t now_us)
 {
--- a/packages/relay/src/wait.c
+++ b/packages/relay/src/wait.c
@@ -175,13 +175,12 @@
 
 /*
  * A statement that a server shed is refused at once when its queue timeout is
- * over. Retries against an overloaded server would go on otherwise, and the
- * caller would be told to retry when its latency target is nearly used up.
+ * over, unless the queue predicts whether it is served. Retries against an
+ * overloaded server would go on otherwise, and the caller would be told to
+ * retry when its latency target is nearly used up.
  */
 bool rwait_may_requeue(const struct rsession *s, uint64_t now_us)
 {
-	if (s->run.tries == MAX_RUN_TRIES)
-		return false;
 	return rsched_applies(s) || now_us < s->run.queue_deadline_us;
 }
 
