--- a/packages/relay/src/conn.c
+++ b/packages/relay/src/conn.c
@@ -33,6 +33,7 @@
 #define OVERDUE_LATENCIES 4
 /* How much longer an answer that no session waits for any more may take. */
 #define ABANDONED_ANSWER_US (150 * USEC_PER_MSEC)
+
 /* Starts to open a connection for an account; "": for the proxy itself. */
 struct rconn *rconn_open(struct rserver *s, const char *account,
 			 uint64_t now_us)
@@ -496,7 +497,7 @@
 		return;
 	routlier_on_answer(&s->outlier, code, now_us);
 	if (c->session)
-		rsched_on_answer(c->session, s, took_us, now_us);
+		rsched_on_answer(c->session, s, code, took_us, now_us);
 	if (c->session)
 		profile = relay_catalog_profile(c->relay->catalog,
 						c->session->database);
--- a/packages/relay/src/scheduler.c
+++ b/packages/relay/src/scheduler.c
@@ -22,11 +22,14 @@
  */
 #define COST_MARGIN 2
 /*
- * Statements for which no connection is found at one event; the next event goes
- * on from the first again. It bounds the work of an answer while many accounts
- * wait for connections.
+ * Statements for which no connection is found at one event, of those that only
+ * the primary may run and of the others; the next event goes on from the first
+ * again. It bounds the work of an answer while many accounts wait for
+ * connections.
  */
 #define MAX_FAILED_STARTS 16
+/* Statements that are looked at for one event; most are passed over. */
+#define MAX_LOOKED_AT 256
 /* Interval between two checks of all that waits. */
 #define CHECK_INTERVAL_US (20 * USEC_PER_MSEC)
 
@@ -58,8 +61,10 @@
 /* The queue of a service; created on first use. */
 static struct rsched *sched_of(struct rservice *v)
 {
-	if (!v->sched)
+	if (!v->sched) {
 		v->sched = rsched_create();
+		g_ptr_array_add(v->relay->scheduled, v);
+	}
 	return v->sched;
 }
 
@@ -109,6 +114,7 @@
 	};
 	run->state = RRUN_QUEUED;
 	run->queued_at = v;
+	s->relay->n_scheduled++;
 	squeue_push(q->queue, &run->wait, now_us);
 }
 
@@ -121,37 +127,66 @@
 {
 	squeue_start(s->run.queued_at->sched->queue, &s->run.wait);
 	s->run.queued_at = NULL;
+	s->relay->n_scheduled--;
 }
 
 void rsched_cancel(struct rsession *s)
 {
 	squeue_cancel(s->run.queued_at->sched->queue, &s->run.wait);
 	s->run.queued_at = NULL;
+	s->relay->n_scheduled--;
 }
 
-/* Whether no server of the service can take one more statement now. */
+/*
+ * Whether no server of the service can take one more statement now. If none is
+ * up, the statements have to be tried: they may go through another home, or be
+ * refused since this one is cut off.
+ */
 static bool is_full(const struct rservice *v)
 {
+	bool is_any_up = false;
 	unsigned i;
 
 	for (i = 0; i < v->servers->len; i++) {
 		const struct rserver *s = rservice_server(v, i);
 
-		if (rserver_is_up(s) && !inflight_is_full(s))
+		if (!rserver_is_up(s))
+			continue;
+		if (!inflight_is_full(s))
 			return false;
+		is_any_up = true;
 	}
-	return true;
+	return is_any_up;
+}
+
+/* Whether it is known that the statement can't start now. */
+static bool is_held(const struct rservice *v, const struct squeue_entry *e,
+		    uint64_t now_us)
+{
+	const struct rsession *s = e->user;
+
+	return now_us < s->run.again_us ||
+	       (e->primary_only && v->primary && rserver_is_up(v->primary) &&
+		inflight_is_full(v->primary));
 }
 
+/*
+ * Statements for the primary that can't start must not keep reads from the
+ * slots of replicas, so failures are counted for each of the two kinds.
+ */
 static void dispatch(struct rservice *v, uint64_t now_us)
 {
 	struct squeue_entry *e = squeue_first(v->sched->queue, now_us), *next;
-	unsigned n_failed = 0;
+	unsigned n_failed[2] = { 0 }, n;
+
+	for (n = 0; e && n < MAX_LOOKED_AT && !is_full(v); n++, e = next) {
+		unsigned *failed = &n_failed[e->primary_only];
 
-	for (; e && n_failed < MAX_FAILED_STARTS && !is_full(v); e = next) {
 		next = squeue_next(e);
+		if (*failed == MAX_FAILED_STARTS || is_held(v, e, now_us))
+			continue;
 		rrun_try_start(e->user, now_us);
-		n_failed += e->at != NULL;
+		*failed += e->at != NULL;
 	}
 }
 
@@ -159,10 +194,10 @@
 {
 	unsigned i;
 
-	for (i = 0; i < r->served->len; i++) {
-		struct rservice *v = g_ptr_array_index(r->served, i);
+	for (i = 0; r->n_scheduled && i < r->scheduled->len; i++) {
+		struct rservice *v = g_ptr_array_index(r->scheduled, i);
 
-		if (v->sched && squeue_length(v->sched->queue))
+		if (squeue_length(v->sched->queue))
 			dispatch(v, now_us);
 	}
 }
@@ -204,6 +239,7 @@
 static void check(struct rsession *s, struct squeue_forecast *forecast,
 		  uint64_t now_us)
 {
+	const struct squeue_forecast before = *forecast;
 	struct rrun *run = &s->run;
 	struct rservice *v = run->queued_at;
 	struct squeue_room room;
@@ -220,6 +256,7 @@
 	run->forecast_us = request.wait_us;
 	if (verdict == SADMIT_WAIT)
 		return;
+	*forecast = before; /* what is refused is not ahead of the others */
 	rmetrics_refused(s->relay, verdict);
 	rwait_refuse(s, retry_after_us(v, run, &room, &request, now_us),
 		     now_us);
@@ -257,33 +294,34 @@
  */
 void rsched_tick(struct relay *r, uint64_t now_us)
 {
-	GHashTableIter iter;
-	gpointer value;
+	unsigned i;
 
-	g_hash_table_iter_init(&iter, r->services);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct rservice *v = value;
+	for (i = 0; r->n_scheduled && i < r->scheduled->len; i++) {
+		struct rservice *v = g_ptr_array_index(r->scheduled, i);
 
-		if (v->sched && squeue_length(v->sched->queue) &&
+		if (squeue_length(v->sched->queue) &&
 		    now_us >= v->sched->checked_at_us + CHECK_INTERVAL_US)
 			check_all(v, now_us);
 	}
 }
 
+/*
+ * The account has paid the expected service time if the statement was queued;
+ * statements of a transaction after the first are not. A refusal takes less
+ * than a statement that runs, and says nothing about the server's speed.
+ */
 void rsched_on_answer(const struct rsession *s, const struct rserver *server,
-		      uint64_t took_us, uint64_t now_us)
+		      enum relay_code code, uint64_t took_us, uint64_t now_us)
 {
 	struct rservice *v = server->service;
-	uint64_t expected_us = 0;
 
 	if (!v->pooled)
 		return;
-	if (s->state == 'I')
-		expected_us = s->run.wait.cost_us;
-	sspeed_note(sched_of(v)->speed, server->info.id, s->database, took_us,
-		    now_us);
-	squeue_charge(v->sched->queue, s->account, weight_of(s), expected_us,
-		      took_us);
+	if (code == RELAY_OK)
+		sspeed_note(sched_of(v)->speed, server->info.id, s->database,
+			    took_us, now_us);
+	squeue_charge(sched_of(v)->queue, s->account, weight_of(s),
+		      s->run.wait.cost_us, took_us);
 }
 
 uint64_t rsched_completion_us(const struct rserver *server,
@@ -317,22 +355,6 @@
 			s->run.forecast_us / USEC_PER_MSEC);
 }
 
-unsigned rsched_waiting(const struct relay *r)
-{
-	unsigned n = 0;
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, r->services);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct rservice *v = value;
-
-		if (v->sched)
-			n += squeue_length(v->sched->queue);
-	}
-	return n;
-}
-
 struct status_text {
 	GString *out;
 	const char *comma;
--- a/packages/relay/src/via.c
+++ b/packages/relay/src/via.c
@@ -458,7 +458,8 @@
  * A home refused a statement as no server could take it in time. True: another
  * home may be tried. That is so only if this proxy is a home that goes round a
  * partition, as the home that it asked may be cut off, too. A proxy that is no
- * home must not try another one: that would add to an overload.
+ * home must not try another one, and a standby must not run the statement
+ * itself: that would add to an overload.
  */
 bool via_may_try_another(const struct rsession *s, struct rserver *home)
 {
@@ -466,7 +467,9 @@
 		registry_service_of_database(s->relay, s->database);
 
 	home->latency_us += REFUSAL_PENALTY_US;
-	return v && v->is_home && s->run.tries + 1 < HELP_TRIES;
+	if (!v || !v->is_home || (v->pooled && v->rank.n_ranked_before))
+		return false;
+	return s->run.tries + 1 < HELP_TRIES;
 }
 
 /*
@@ -515,7 +518,8 @@
 		struct rserver *s =
 			find_listed(via, g_ptr_array_index(names, i));
 
-		if (!s)
+		/* One that was never connected to has not been bad. */
+		if (!s || (!s->heard_us && !s->failing_since_us))
 			continue;
 		splace_home_note(&s->home,
 				 rserver_is_up(s) && !is_bad_home(s, now_us),
@@ -540,8 +544,10 @@
 		return false;
 	via = via_of(v, profile->database, now_us);
 	via->wanted_at_us = now_us;
-	if (first_preferred(via, v, now_us))
+	if (first_preferred(via, v, now_us)) {
+		v->unserved_since_us = 0; /* another home serves it */
 		return true;
+	}
 	open_homes(via, now_us);
 	return false;
 }
--- a/packages/relay/src/wait.c
+++ b/packages/relay/src/wait.c
@@ -79,15 +79,20 @@
 }
 
 /*
- * Time that the statement has spent elsewhere, on its way here. A proxy that
- * leaves it to a home says how much of its time is left.
+ * Time that the statement has spent elsewhere, on its way here. A proxy for
+ * which the homes are pooled says how much of the statement's time is left. One
+ * of an older version, or one whose list still differs, gives its queue timeout
+ * instead, which is shorter: taken for the time left, it would end statements
+ * that run, and leave writes in doubt. So a short time counts as not given; the
+ * other proxy closes its session when it waits no longer.
  */
 static uint64_t elapsed_us(const struct relay_profile *profile,
 			   uint64_t wait_us)
 {
-	return wait_us && wait_us < profile->timeout_us ?
-		       profile->timeout_us - wait_us :
-		       0;
+	if (wait_us <= queue_timeout_us(profile, false) ||
+	    wait_us >= profile->timeout_us)
+		return 0;
+	return profile->timeout_us - wait_us;
 }
 
 /*
@@ -105,6 +110,8 @@
 	uint64_t timeout_us = queue_timeout_us(profile, s->peer);
 
 	run->pooled = v && v->pooled;
+	/* Of an earlier statement; rsched_push() sets them if it is called. */
+	run->wait.cost_us = run->forecast_us = 0;
 	run->deadline_us = now_us + profile->timeout_us;
 	run->due_us = now_us + profile->target_latency_us;
 	if (run->pooled) {
@@ -168,13 +175,12 @@
 
 /*
  * A statement that a server shed is refused at once when its queue timeout is
- * over. Retries against an overloaded server would go on otherwise, and the
- * caller would be told to retry when its latency target is nearly used up.
+ * over, unless the queue predicts whether it is served. Retries against an
+ * overloaded server would go on otherwise, and the caller would be told to
+ * retry when its latency target is nearly used up.
  */
 bool rwait_may_requeue(const struct rsession *s, uint64_t now_us)
 {
-	if (s->run.tries == MAX_RUN_TRIES)
-		return false;
 	return rsched_applies(s) || now_us < s->run.queue_deadline_us;
 }
 
