sched: an account keeps its last connection while others have several

sconn_victim() divided the uses of an account with several idle connections by the square of their number and compared that with the uses of accounts with one. An account with 100 uses a second and two idle connections counted 25, so the only connection of an account with one use a second was closed before.

Last connections are now passed over as long as another account has several idle ones; among the rest the least used is closed, as before.

Result: the new test fails on the code before (it closed the last one) and passes now.

--- a/packages/sched/src/connections.c
+++ b/packages/sched/src/connections.c
@@ -82,22 +82,39 @@
 	return i->n_idle > 1 ? rate / (n * n) : rate;
 }
 
+/* Whether an account other than the one that asks has several idle ones. */
+static bool has_surplus(const struct sconn_idle *idle, unsigned n,
+			const char *account)
+{
+	unsigned i;
+
+	for (i = 0; i < n; i++) {
+		if (idle[i].n_idle > 1 && strcmp(idle[i].account, account))
+			return true;
+	}
+	return false;
+}
+
 /*
  * Closing the connection that was idle for longest closes those of all small
  * accounts in turn, so that each of their statements opens one anew. Closing
- * the one that is used least keeps those of most.
+ * the one that is used least keeps those of most; an account's last one is kept
+ * as long as another account has several idle ones.
  */
 int sconn_victim(const struct sconn_usage *u, const struct sconn_idle *idle,
 		 unsigned n, const char *account, uint64_t now_us)
 {
+	bool keeps_last = has_surplus(idle, n, account);
 	double least = 0;
 	int best = -1;
 	unsigned i;
 
 	for (i = 0; i < n; i++) {
+		bool is_last = idle[i].n_idle + idle[i].n_busy == 1;
 		double use;
 
-		if (!idle[i].n_idle || !strcmp(idle[i].account, account))
+		if (!idle[i].n_idle || !strcmp(idle[i].account, account) ||
+		    (is_last && keeps_last))
 			continue;
 		use = expected_use(u, &idle[i], now_us);
 		if (best >= 0 && use >= least)
--- a/packages/sched/tests/test_connections.c
+++ b/packages/sched/tests/test_connections.c
@@ -92,6 +92,29 @@
 }
 END_TEST
 
+/*
+ * Guards against an account that loses its only connection while another one
+ * keeps several that nobody uses.
+ */
+START_TEST(test_surplus_is_closed_before_a_last_one)
+{
+	struct sconn_usage *u = sconn_usage_create();
+	const struct sconn_idle idle[] = { { "rare", 1, 0 },
+					   { "busy", 2, 0 },
+					   { "in-use", 1, 1 } };
+	uint64_t now_us = 2 * MINUTE;
+
+	use(u, "rare", 1, now_us);
+	use(u, "busy", 100, now_us);
+	use(u, "in-use", 10, now_us);
+	ck_assert_int_eq(sconn_victim(u, idle, 2, "d", now_us), 1);
+	/* One that has others in use is not an account's last one. */
+	ck_assert_int_eq(sconn_victim(u, idle, 3, "d", now_us), 2);
+	ck_assert_int_eq(sconn_victim(u, idle, 1, "d", now_us), 0);
+	sconn_usage_destroy(u);
+}
+END_TEST
+
 /* Guards against connections that cost more slot time than they save. */
 START_TEST(test_opened_when_waiting_takes_longer)
 {
@@ -146,6 +169,7 @@
 	tcase_add_test(tc, test_the_least_used_is_closed);
 	tcase_add_test(tc, test_never_the_asking_accounts_own);
 	tcase_add_test(tc, test_of_several_the_least_used_is_closed);
+	tcase_add_test(tc, test_surplus_is_closed_before_a_last_one);
 	tcase_add_test(tc, test_opened_when_waiting_takes_longer);
 	tcase_add_test(tc, test_read_penalty);
 	return suite_main("connections", tc);
