sched: servers that are measured don't look faster than unknown ones

The slowness of a server is a mean of logarithms, but each time was compared with the logarithm of the mean time, which is higher: with exponentially distributed service times three equal servers all counted 0.63, while one that had not been measured for some seconds counted 1 and looked 1.6 times as slow.

Times are compared with the mean of the profile's logarithms. The expected service time of a profile is the mean, as before.

Result: the new test gives 0.63 on the code before and between 0.9 and 1.1 now. relay_test_accounts, routing, overload, metrics, homes and rank pass with this and the commit before.

--- a/packages/sched/src/speed.c
+++ b/packages/sched/src/speed.c
@@ -18,8 +18,13 @@
 	uint64_t noted_at_us;
 };
 
+struct profile_time {
+	double mean_us;
+	double mean_log; /* of the logarithm of the time in us, base 2 */
+};
+
 struct sspeed {
-	GHashTable *expected; /* profile -> double, service time in us */
+	GHashTable *profiles; /* name -> struct profile_time */
 	GHashTable *servers; /* server -> struct server_speed */
 };
 
@@ -28,7 +33,7 @@
 {
 	struct sspeed *s = g_new0(struct sspeed, 1);
 
-	s->expected =
+	s->profiles =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	s->servers =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -40,22 +45,23 @@
 {
 	if (!s)
 		return;
-	g_hash_table_destroy(s->expected);
+	g_hash_table_destroy(s->profiles);
 	g_hash_table_destroy(s->servers);
 	g_free(s);
 }
 
-static double *expected_of(struct sspeed *s, const char *profile,
-			   uint64_t first_us)
+static struct profile_time *time_of(struct sspeed *s, const char *profile,
+				    double first_us)
 {
-	double *us = g_hash_table_lookup(s->expected, profile);
-
-	if (us)
-		return us;
-	us = g_new(double, 1);
-	*us = (double)first_us;
-	g_hash_table_insert(s->expected, g_strdup(profile), us);
-	return us;
+	struct profile_time *t = g_hash_table_lookup(s->profiles, profile);
+
+	if (t)
+		return t;
+	t = g_new(struct profile_time, 1);
+	t->mean_us = first_us;
+	t->mean_log = log2(first_us);
+	g_hash_table_insert(s->profiles, g_strdup(profile), t);
+	return t;
 }
 
 static struct server_speed *speed_of(struct sspeed *s, const char *server)
@@ -81,20 +87,24 @@
  * Records a service time. Servers are compared by the logarithm of its ratio to
  * what the profile's statements take at all servers, so that a profile of long
  * statements doesn't make the server that runs them look slow, and one very
- * long statement counts little.
+ * long statement counts little. It is compared with the mean of the logarithms:
+ * most times are below the mean time, and servers that are measured would look
+ * faster than the average, as which one counts that isn't.
  */
 void sspeed_note(struct sspeed *s, const char *server, const char *profile,
 		 uint64_t took_us, uint64_t now_us)
 {
-	double *expected = expected_of(s, profile, MAX(took_us, 1));
+	double us = MAX((double)took_us, 1);
+	struct profile_time *t = time_of(s, profile, us);
 	struct server_speed *v = speed_of(s, server);
-	double ratio = MAX((double)took_us, 1) / MAX(*expected, 1);
-	double sample = log2(CLAMP(ratio, 1 / MAX_SLOWNESS, MAX_SLOWNESS));
+	double sample = log2(us) - t->mean_log;
 	double before = decayed(v, now_us);
 
+	sample = CLAMP(sample, -log2(MAX_SLOWNESS), log2(MAX_SLOWNESS));
 	v->log_slowness = before + (sample - before) / WEIGHT;
 	v->noted_at_us = now_us;
-	*expected += ((double)took_us - *expected) / WEIGHT;
+	t->mean_us += (us - t->mean_us) / WEIGHT;
+	t->mean_log += (log2(us) - t->mean_log) / WEIGHT;
 }
 
 /* Voids what is known of a server that started again or left. */
@@ -107,9 +117,10 @@
 uint64_t sspeed_expected_us(const struct sspeed *s, const char *profile,
 			    uint64_t default_us)
 {
-	const double *us = g_hash_table_lookup(s->expected, profile);
+	const struct profile_time *t =
+		g_hash_table_lookup(s->profiles, profile);
 
-	return us ? (uint64_t)*us : default_us;
+	return t ? (uint64_t)t->mean_us : default_us;
 }
 
 /* How many times as long as its peers the server takes. */
--- a/packages/sched/tests/test_speed.c
+++ b/packages/sched/tests/test_speed.c
@@ -2,6 +2,7 @@
 
 #include <celeryquay/suite.h>
 #include <glib.h>
+#include <math.h>
 
 #define MS 1000
 #define SECOND (1000 * MS)
@@ -9,6 +10,11 @@
 
 static const char *const servers[] = { "a", "b", "c" };
 
+static uint64_t exponential_us(GRand *rng, double mean_us)
+{
+	return (uint64_t)(-log(1 - g_rand_double(rng)) * mean_us);
+}
+
 /* Each server runs a statement of that time, times its slowness. */
 static void note_round(struct sspeed *s, const double *slowness, uint64_t us,
 		       uint64_t now_us)
@@ -84,6 +90,33 @@
 }
 END_TEST
 
+/*
+ * Page 0022: a server whose speed is unknown is treated as average. Guards
+ * against servers that have been measured and count as faster than that because
+ * most service times are below their mean.
+ */
+START_TEST(test_varying_times_look_neither_slow_nor_fast)
+{
+	struct sspeed *s = sspeed_create();
+	GRand *rng = g_rand_new_with_seed(7);
+	uint64_t now_us = SECOND;
+	double sum = 0;
+	unsigned i, j, n = 0;
+
+	for (i = 0; i < 3000; i++) {
+		now_us += 5 * MS;
+		sspeed_note(s, servers[i % 3], "p",
+			    exponential_us(rng, MEAN_US), now_us);
+		for (j = 0; i >= 100 && j < G_N_ELEMENTS(servers); j++, n++)
+			sum += log2(sspeed_slowness(s, servers[j], now_us));
+	}
+	ck_assert_double_eq_tol(exp2(sum / n), 1, 0.1);
+	ck_assert_double_eq(sspeed_slowness(s, "unknown", now_us), 1);
+	g_rand_free(rng);
+	sspeed_destroy(s);
+}
+END_TEST
+
 /*
  * Guards against a server that is avoided for good, since nothing that it runs
  * shows that it has recovered.
@@ -174,6 +207,7 @@
 
 	tcase_add_test(tc, test_mix_of_profiles_changes_nothing);
 	tcase_add_test(tc, test_slow_server_is_seen);
+	tcase_add_test(tc, test_varying_times_look_neither_slow_nor_fast);
 	tcase_add_test(tc, test_slowness_decays);
 	tcase_add_test(tc, test_slowness_is_clamped);
 	tcase_add_test(tc, test_ramp);
