sched: clean for clang-tidy

clang-tidy reported products of ints that are widened to uint64_t and results of strcmp() used as truth values, so that lint failed on admission.c, connections.c, placement.c and speed.c. Constants of times are 64 bits wide and comparisons explicit.

--- a/packages/sched/include/celeryquay/sched/connections.h
+++ b/packages/sched/include/celeryquay/sched/connections.h
@@ -11,7 +11,7 @@
 #include <stdint.h>
 
 /* Time for which opening a connection occupies a slot of the server. */
-#define SCONN_OPEN_COST_US (12 * 1000)
+#define SCONN_OPEN_COST_US (UINT64_C(12) * 1000)
 
 struct sconn_usage;
 
--- a/packages/sched/src/admission.c
+++ b/packages/sched/src/admission.c
@@ -3,12 +3,12 @@
 #include <glib.h>
 
 /* Sooner than this a caller can't be back, given its own round trip. */
-#define MIN_RETRY_AFTER_US (100 * 1000)
+#define MIN_RETRY_AFTER_US (UINT64_C(100) * 1000)
 /*
  * Callers' deadlines are some seconds; nothing is known about the load further
  * ahead than that.
  */
-#define MAX_RETRY_AFTER_US (5 * 1000 * 1000)
+#define MAX_RETRY_AFTER_US (UINT64_C(5) * 1000 * 1000)
 
 /* Checks again whether a statement that waits, or is to wait, is served. */
 enum sadmit_verdict sadmit_check(const struct sadmit_request *request,
--- a/packages/sched/src/connections.c
+++ b/packages/sched/src/connections.c
@@ -89,7 +89,7 @@
 	unsigned i;
 
 	for (i = 0; i < n; i++) {
-		if (idle[i].n_idle > 1 && strcmp(idle[i].account, account))
+		if (idle[i].n_idle > 1 && strcmp(idle[i].account, account) != 0)
 			return true;
 	}
 	return false;
--- a/packages/sched/src/placement.c
+++ b/packages/sched/src/placement.c
@@ -21,7 +21,7 @@
  * A home that was bad is preferred again after it was good for this long, so
  * that statements don't follow one that flaps.
  */
-#define PREFERRED_AGAIN_US (1000 * 1000)
+#define PREFERRED_AGAIN_US (UINT64_C(1000) * 1000)
 
 /* Parses the setting; false: unknown word. */
 bool splace_pooling_parse(const char *word, enum splace_pooling *out)
@@ -34,7 +34,7 @@
 	unsigned i;
 
 	for (i = 0; i < G_N_ELEMENTS(words); i++) {
-		if (strcmp(word, words[i]))
+		if (strcmp(word, words[i]) != 0)
 			continue;
 		*out = (enum splace_pooling)i;
 		return true;
--- a/packages/sched/src/speed.c
+++ b/packages/sched/src/speed.c
@@ -6,11 +6,11 @@
 /* The newest service time counts one eighth of a moving average. */
 #define WEIGHT 8.0
 /* Without a new measurement a server's slowness halves after this long. */
-#define HALF_LIFE_US (2 * 1000 * 1000)
+#define HALF_LIFE_US (UINT64_C(2) * 1000 * 1000)
 #define MIN_SLOWNESS 0.25
 #define MAX_SLOWNESS 16.0
 /* A server that came back has caches to fill and sessions to take over. */
-#define RAMP_US (2 * 1000 * 1000)
+#define RAMP_US (UINT64_C(2) * 1000 * 1000)
 #define RAMP_START 0.25
 
 struct server_speed {
