relay: tests of services whose homes are pooled

Nothing tested the relay with pooled homes. The fake can be created with options now: connections of a server, pooling, priorities of profiles, more accounts, capacities of proxies, and proxies of an older version. It counts the connections that servers accepted and refused, and the statements that ran for each proxy; opening a connection can take slot time. The default is as before and draws the same random numbers, so histories of other tests stay.

--- a/packages/relay/tests/support_accounts.c
+++ b/packages/relay/tests/support_accounts.c
@@ -50,7 +50,7 @@
 {
 	unsigned i;
 
-	for (i = 0; i < FAKE_ACCOUNTS; i++) {
+	for (i = 0; i < f->n_accounts; i++) {
 		struct relay_account a = { .name = accounts_name(i),
 					   .rate_per_s = FAKE_RATE,
 					   .burst = FAKE_BURST };
--- a/packages/relay/tests/support_group.c
+++ b/packages/relay/tests/support_group.c
@@ -283,14 +283,15 @@
 	return s->work_us && *earliest_slot(s) > f->now_us + s->queue_us;
 }
 
-/* Occupies a slot; returns the time until the statement is done. */
-static uint64_t occupy_slot(const struct fake *f, struct fake_server *s)
+/* Occupies a slot for work_us; returns the time until that is done. */
+static uint64_t occupy_slot(const struct fake *f, struct fake_server *s,
+			    uint64_t work_us)
 {
 	uint64_t *slot = earliest_slot(s);
 
-	if (!s->work_us)
+	if (!work_us)
 		return 0;
-	*slot = MAX(*slot, f->now_us) + s->work_us;
+	*slot = MAX(*slot, f->now_us) + work_us;
 	return *slot - f->now_us;
 }
 
@@ -365,7 +366,7 @@
 	else
 		run_relay_statement(c, &m->st, &a);
 	if (m->st.id.len && a.code == RELAY_OK)
-		work_us = occupy_slot(f, c->server);
+		work_us = occupy_slot(f, c->server, c->server->work_us);
 	out = g_new0(struct message, 1);
 	out->kind = M_ANSWER;
 	out->answer = a;
@@ -406,6 +407,7 @@
 {
 	struct fake_conn *c = g_hash_table_lookup(f->conns, data);
 	struct message *m;
+	uint64_t work_us = 0;
 
 	if (!c)
 		return;
@@ -430,14 +432,17 @@
 		drop_later(f, c, 0);
 	} else if (c->server->n_conns >= f->max_connections) {
 		m->answer.code = RELAY_TOO_MANY;
+		f->n_full++;
 		drop_later(f, c, 0);
 	} else {
 		c->open = true;
 		c->server->n_conns++;
+		f->n_opened++;
+		work_us = occupy_slot(f, c->server, f->open_work_us);
 	}
 	m->answer.state = 'I';
 	m->answer.position = position_of(c->server);
-	send_to_relay(f, c, m, 0);
+	send_to_relay(f, c, m, work_us);
 }
 
 /* Opens a connection; the far end accepts, refuses or doesn't respond. */
--- a/packages/relay/tests/support_group.h
+++ b/packages/relay/tests/support_group.h
@@ -16,7 +16,8 @@
 #define MAX_GROUPS 2
 #define GROUP_SIZE 3 /* servers of a group at the start */
 #define MAX_ADDED_SERVERS 40 /* servers added during one history */
-#define FAKE_ACCOUNTS 3
+#define FAKE_ACCOUNTS 3 /* unless options say otherwise */
+#define MAX_ACCOUNTS 40
 #define MAX_SERVERS (MAX_GROUPS * GROUP_SIZE + MAX_ADDED_SERVERS)
 
 struct hist;
@@ -30,6 +31,10 @@
 	uint64_t frozen_until_us; /* events for it are held until then */
 	bool dead; /* refuses connections of other relays */
 	bool unlisted; /* absent from the list of relays */
+	/* Of an older version: announces no capacity, never pools homes. */
+	bool old;
+	struct splace_capacity capacity;
+	unsigned n_ran; /* callers' statements that servers ran for it */
 	bool deaf; /* cut off from the store: no duty record, no claims */
 	bool drop_lists; /* lists of servers are dropped on their way to it */
 	uint64_t list_delay_us; /* additional delay of lists of servers */
@@ -135,6 +140,11 @@
 	GHashTable *conns; /* key -> struct fake_conn */
 	unsigned n_serials;
 	unsigned max_connections;
+	unsigned n_opened; /* connections that servers accepted */
+	unsigned n_full; /* connections that servers refused at their limit */
+	uint64_t open_work_us; /* time that opening one occupies a slot */
+	enum splace_pooling home_pooling;
+	unsigned priorities[RELAY_KINDS]; /* of the profiles, by kind */
 	bool homes; /* relays receive the list of relays */
 	unsigned n_codes[RELAY_CODES]; /* answers to callers, by code */
 	unsigned n_replica_reads; /* callers' statements run by replicas */
@@ -165,9 +175,11 @@
 	uint64_t duty_revision; /* revision of the duty record, 0: no claim */
 	char duty_holder[8]; /* name of the relay that claimed last */
 	bool accounts; /* callers have keys; see support_accounts.c */
+	unsigned n_accounts;
+	bool limits; /* accounts have rate limits */
 	uint64_t config_version;
-	uint64_t key_revoked_at_us[FAKE_ACCOUNTS]; /* when the account's key was
-						    * revoked, 0: it is valid */
+	uint64_t key_revoked_at_us[MAX_ACCOUNTS]; /* when the account's key was
+						   * revoked, 0: it is valid */
 	struct hist *hist;
 };
 
@@ -190,6 +202,21 @@
 		    FAKE_SLACK))
 #define FAKE_STATEMENT_TIMEOUT_US (2 * USEC_PER_SEC) /* statement time-out */
 
+/* A platform other than the usual one. Zero-initialized. */
+struct fake_options {
+	unsigned n_relays;
+	unsigned n_groups;
+	unsigned max_connections; /* of a server; 0: as usual */
+	bool homes; /* relays receive the list of relays */
+	enum splace_pooling home_pooling;
+	unsigned priorities[RELAY_KINDS]; /* of the profiles, by kind */
+	unsigned n_accounts; /* 0: callers have no accounts */
+	bool limits; /* accounts have rate limits */
+	struct splace_capacity capacities[MAX_RELAYS];
+	bool old[MAX_RELAYS]; /* relays of an older version */
+};
+
+struct fake *fake_create_with(uint32_t seed, const struct fake_options *o);
 struct fake *fake_create(uint32_t seed, unsigned n_relays, unsigned n_groups);
 /* The same with client accounts, and relays that know each other. */
 struct fake *fake_create_accounts(uint32_t seed, unsigned n_relays,
--- a/packages/relay/tests/support_history.c
+++ b/packages/relay/tests/support_history.c
@@ -141,9 +141,10 @@
 	return g_string_free(out, FALSE);
 }
 
-/* Opens a caller's session at a relay. */
-struct hist_session *hist_open(struct fake *f, unsigned relay, unsigned group,
-			       enum relay_kind kind)
+/* Opens a session of a caller of the account at a relay. */
+struct hist_session *hist_open_account(struct fake *f, unsigned relay,
+				       unsigned group, enum relay_kind kind,
+				       unsigned account)
 {
 	static const char *const kinds[] = { "primary", "bounded", "own" };
 	struct hist_session *s = g_new0(struct hist_session, 1);
@@ -155,7 +156,7 @@
 	s->relay = relay;
 	s->group = group;
 	s->kind = kind;
-	s->account = s->number % FAKE_ACCOUNTS;
+	s->account = account;
 	s->open = true;
 	s->state = 'I';
 	s->values =
@@ -173,6 +174,16 @@
 	return s;
 }
 
+/* Opens a caller's session at a relay; accounts take turns. */
+struct hist_session *hist_open(struct fake *f, unsigned relay, unsigned group,
+			       enum relay_kind kind)
+{
+	unsigned number = f->hist->sessions->len + 1;
+	unsigned account = f->n_accounts ? number % f->n_accounts : 0;
+
+	return hist_open_account(f, relay, group, kind, account);
+}
+
 /* The caller disconnects, even with a statement in flight. */
 void hist_close(struct fake *f, struct hist_session *s)
 {
@@ -499,6 +510,7 @@
 	if (f->accounts)
 		check_account(f, c, h);
 	f->n_replica_reads += c->server->role == ROLE_REPLICA;
+	f->relays[c->relay].n_ran++;
 	if (needs_server(h) && !h->writes)
 		check_fresh(f, c->server, h);
 	g_free(values);
@@ -593,7 +605,7 @@
 		return f->hist->wrong->str;
 	f->hist->checked = true;
 	check_attempts(f);
-	if (f->accounts)
+	if (f->limits)
 		check_limits(f);
 	for (i = 0; i < f->hist->missed->len; i++) {
 		const struct missed *m =
--- a/packages/relay/tests/support_history.h
+++ b/packages/relay/tests/support_history.h
@@ -43,12 +43,17 @@
 	char said[64]; /* text of the last answer */
 	fake_fn next; /* called with this session 1 ms after each answer */
 	unsigned left; /* free for use by `next` */
+	void *user; /* the same */
 };
 
 struct hist *hist_create(void);
 void hist_destroy(struct hist *h);
 struct hist_session *hist_open(struct fake *f, unsigned relay, unsigned group,
 			       enum relay_kind kind);
+/* The same for a caller of that account. */
+struct hist_session *hist_open_account(struct fake *f, unsigned relay,
+				       unsigned group, enum relay_kind kind,
+				       unsigned account);
 void hist_close(struct fake *f, struct hist_session *s);
 void hist_start(struct fake *f, struct hist_session *s, enum relay_verb verb,
 		const char *name, const char *text);
--- a/packages/relay/tests/support_platform.c
+++ b/packages/relay/tests/support_platform.c
@@ -556,6 +556,7 @@
 				.id = f->relays[i].name,
 				.host = "10.0.0.2",
 				.zone = "a",
+				.capacity = f->relays[i].capacity,
 			};
 	if (f->homes)
 		relay_on_peers(r->relay, infos, n, f->now_us);
@@ -758,7 +759,8 @@
 				.kind = kind,
 				.timeout_us = FAKE_STATEMENT_TIMEOUT_US,
 				.target_latency_us = FAKE_LATENCY_TARGET_US,
-				.max_age_us = FAKE_MAX_AGE_US
+				.max_age_us = FAKE_MAX_AGE_US,
+				.priority = f->priorities[kind]
 			};
 
 			relay_catalog_add_profile(c, &p);
@@ -789,6 +791,9 @@
 	settings.zone = "a";
 	if (f->accounts)
 		accounts_settings(&settings);
+	settings.limits = f->limits;
+	settings.home_pooling = r->old ? SPLACE_OFF : f->home_pooling;
+	settings.capacity = r->capacity;
 	r->relay = relay_create(&settings, &ops, r, r->counters, f->rng,
 				f->now_us);
 	relay_on_catalog(r->relay, catalog, f->now_us);
@@ -969,8 +974,7 @@
 }
 
 /* Creates idle groups and relays, and schedules their periodic events. */
-static struct fake *create(uint32_t seed, unsigned n_relays, unsigned n_groups,
-			   bool accounts)
+struct fake *fake_create_with(uint32_t seed, const struct fake_options *o)
 {
 	struct fake *f = g_new0(struct fake, 1);
 	struct relay_catalog *catalog;
@@ -978,41 +982,61 @@
 
 	f->now_us = 10 * USEC_PER_SEC;
 	f->rng = g_rand_new_with_seed(seed);
-	f->n_relays = n_relays;
-	f->n_groups = n_groups;
-	f->accounts = f->homes = accounts;
-	f->max_connections = n_relays > 4 ? 10 : 20;
+	f->n_relays = o->n_relays;
+	f->n_groups = o->n_groups;
+	f->homes = o->homes;
+	f->accounts = o->n_accounts;
+	f->n_accounts = o->n_accounts;
+	f->limits = o->limits;
+	f->home_pooling = o->home_pooling;
+	memcpy(f->priorities, o->priorities, sizeof(f->priorities));
+	f->max_connections = o->n_relays > 4 ? 10 : 20;
+	if (o->max_connections)
+		f->max_connections = o->max_connections;
 	f->promote_duration_us = 1000 * MS;
 	f->events = fake_events_create();
 	f->conns = fake_conns_create();
 	f->commits = g_array_new(FALSE, TRUE, sizeof(struct fake_commit));
 	g_array_set_size(f->commits, 1);
 	f->hist = hist_create();
-	for (i = 0; i < n_groups * GROUP_SIZE; i++)
+	for (i = 0; i < f->n_groups * GROUP_SIZE; i++)
 		add_server(f, i / GROUP_SIZE,
 			   i % GROUP_SIZE ? ROLE_REPLICA : ROLE_PRIMARY);
-	for (i = 0; i < n_groups; i++)
+	for (i = 0; i < f->n_groups; i++)
 		f->top_term[i] = 1;
 	catalog = fake_catalog(f);
-	for (i = 0; i < n_relays; i++)
+	for (i = 0; i < f->n_relays; i++) {
+		f->relays[i].capacity = o->capacities[i];
+		f->relays[i].old = o->old[i];
 		create_relay(f, i, catalog);
+	}
 	relay_catalog_unref(catalog);
 	fake_publish_lists(f);
 	fake_at(f, -1, 0, replicate_event, NULL, NULL);
-	if (accounts)
+	if (f->accounts)
 		accounts_start(f);
 	return f;
 }
 
 struct fake *fake_create(uint32_t seed, unsigned n_relays, unsigned n_groups)
 {
-	return create(seed, n_relays, n_groups, false);
+	struct fake_options o = { .n_relays = n_relays, .n_groups = n_groups };
+
+	return fake_create_with(seed, &o);
 }
 
 struct fake *fake_create_accounts(uint32_t seed, unsigned n_relays,
 				  unsigned n_groups)
 {
-	return create(seed, n_relays, n_groups, true);
+	struct fake_options o = {
+		.n_relays = n_relays,
+		.n_groups = n_groups,
+		.homes = true,
+		.n_accounts = FAKE_ACCOUNTS,
+		.limits = true,
+	};
+
+	return fake_create_with(seed, &o);
 }
 
 /* Frees the fake and its relays. */
