relay: a home that is still being connected to is not a bad one

At the first statement for a database a proxy noted the first home as bad, since it had not answered yet. It was therefore not preferred before it had been good for a second, and the statements of that second went to a standby, beside the first home's queue and with connections of its own.

A home counts as bad only once it has answered or failed.

--- a/packages/relay/src/via.c
+++ b/packages/relay/src/via.c
@@ -489,6 +489,19 @@
 	return NULL;
 }
 
+/*
+ * Notes whether the home can be used now. One that is still being connected to
+ * is not known to be bad: it need not be good for a while before it is
+ * preferred.
+ */
+static void note_home(struct rserver *s, uint64_t now_us)
+{
+	if (s->heard_us || s->failing_since_us)
+		splace_home_note(&s->home,
+				 rserver_is_up(s) && !is_bad_home(s, now_us),
+				 now_us);
+}
+
 /*
  * The home that ranks first among those that may be preferred; NULL: none. A
  * home of the service counts only those that rank before itself.
@@ -507,9 +520,7 @@
 
 		if (!s)
 			continue;
-		splace_home_note(&s->home,
-				 rserver_is_up(s) && !is_bad_home(s, now_us),
-				 now_us);
+		note_home(s, now_us);
 		if (splace_home_is_preferred(&s->home, now_us))
 			return s;
 	}
--- a/packages/relay/tests/test_pooled.c
+++ b/packages/relay/tests/test_pooled.c
@@ -101,6 +101,55 @@
 	return n;
 }
 
+/*
+ * Guards against several homes with a queue each, among which no order holds:
+ * callers of all proxies, standbys too, are served by the first home alone.
+ */
+START_TEST(the_first_home_runs_all_statements)
+{
+	struct fake *f = start((uint32_t)_i);
+	unsigned first = pooled_ranked(f, 0), others, i;
+	struct mix m;
+
+	for (i = 0; i < f->n_relays; i++)
+		ck_assert(pooled_service(f, i)->pooled);
+	ck_assert_uint_eq(count_homes(f), SPLACE_POOLED_HOMES);
+	mix_start(f, &m, 0);
+	fake_run(f, 3 * USEC_PER_SEC);
+	others = pooled_ran(f) - f->relays[first].n_ran;
+	check_all_succeed(f, &m, 3 * USEC_PER_SEC);
+	ck_assert_uint_eq(pooled_ran(f) - f->relays[first].n_ran, others);
+	mix_end(f, &m);
+}
+END_TEST
+
+#define CONNECT_US (50 * MS) /* until a proxy has connected to the homes */
+
+/*
+ * Guards against a proxy that takes a first home which it is still connecting
+ * to for one that was bad, and sends the statements of the next second, the
+ * first ones for a database, to a standby.
+ */
+START_TEST(a_new_database_is_served_by_the_first_home)
+{
+	struct fake *f = start((uint32_t)_i);
+	unsigned first = pooled_ranked(f, 0), ran, i;
+
+	for (i = 0; i < f->n_relays; i++) {
+		struct hist_session *s =
+			hist_open(f, i, 0, (enum relay_kind)(i % RELAY_KINDS));
+
+		hist_run(f, s, RELAY_READ, "", "1");
+		fake_run(f, CONNECT_US);
+		ran = f->relays[first].n_ran;
+		hist_run(f, s, RELAY_READ, "", "1");
+		ck_assert_int_eq(s->told, RELAY_OK);
+		ck_assert_uint_eq(f->relays[first].n_ran, ran + 1);
+	}
+	pooled_end(f);
+}
+END_TEST
+
 /*
  * Guards against pooling where it was not asked for: without it five homes are
  * in use, the same that proxies of unknown capacity choose.
@@ -227,6 +276,9 @@
 {
 	TCase *tc = tcase_create("pooled");
 
+	tcase_add_loop_test(tc, the_first_home_runs_all_statements, 0, SEEDS);
+	tcase_add_loop_test(tc, a_new_database_is_served_by_the_first_home, 0,
+			    SEEDS);
 	tcase_add_loop_test(tc, homes_are_as_before_without_pooling, 0, 3);
 	tcase_add_loop_test(tc, a_home_is_preferred_again_after_a_second, 0,
 			    SEEDS);
