sched: an account's last connection is kept while another has spare ones

sconn_victim() took the connection with the least expected use, and counted the second idle one of a large account as a quarter of that account's rate. That is more than the whole rate of a small account, so small accounts lost their only connection and opened another with each statement.

Accounts with one connection are passed over while an account other than the one that needs a connection has several idle.

--- a/packages/relay/tests/test_pooled_load.c
+++ b/packages/relay/tests/test_pooled_load.c
@@ -217,6 +217,66 @@
 }
 END_TEST
 
+#define MANY_ACCOUNTS 32 /* more than a server has connections */
+#define MANY_PER_S 135 /* statements of all of them */
+
+/* Loads of accounts of very different size: the n-th has 1/n of the first. */
+static void set_many_accounts(struct load *loads, unsigned avoid)
+{
+	double sum = 0;
+	unsigned i;
+
+	for (i = 0; i < MANY_ACCOUNTS; i++)
+		sum += 1.0 / (i + 1);
+	for (i = 0; i < MANY_ACCOUNTS; i++)
+		loads[i] = (struct load){
+			.kind = RELAY_KIND_OWN_WRITES,
+			.account = i,
+			.per_s = MANY_PER_S / sum / (i + 1),
+			.writes = 0.12,
+			.avoid = avoid,
+		};
+}
+
+static struct fake *start_many_accounts(uint32_t seed, struct load *loads,
+					bool avoid_first)
+{
+	struct fake_options o = pooled_options();
+	struct fake *f;
+
+	o.n_accounts = MANY_ACCOUNTS;
+	f = pooled_start(seed, &o);
+	set_work(f, 10 * MS);
+	set_many_accounts(loads, avoid_first ? 1u << pooled_ranked(f, 0) : 0);
+	start_loads(f, loads, MANY_ACCOUNTS);
+	fake_run(f, WARM_UP_US);
+	return f;
+}
+
+/*
+ * Guards against connections that accounts take from each other in turn, so
+ * that most statements need a new one, and against more than servers accept.
+ */
+START_TEST(connections_of_many_accounts_are_kept)
+{
+	struct load loads[MANY_ACCOUNTS];
+	struct fake *f = start_many_accounts((uint32_t)_i, loads, false);
+	unsigned opened = f->n_opened, n_sent = 0, n_ok = 0, i;
+
+	measure(f, loads, MANY_ACCOUNTS);
+	opened = f->n_opened - opened;
+	for (i = 0; i < MANY_ACCOUNTS; i++) {
+		n_sent += loads[i].n_sent;
+		n_ok += loads[i].n_ok;
+		check_refusals(&loads[i]);
+	}
+	ck_assert_double_ge(share(n_ok, n_sent), 0.95);
+	ck_assert_double_lt(share(opened, n_ok), 1.0 / 6);
+	ck_assert_uint_eq(f->n_full, 0);
+	end(f, loads, MANY_ACCOUNTS);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("pooled_load");
@@ -227,5 +287,7 @@
 	tcase_add_loop_test(tc, the_slots_of_a_slow_primary_stay_in_use, 0,
 			    SEEDS);
 	tcase_add_loop_test(tc, reads_avoid_a_slow_replica, 0, SEEDS);
+	tcase_add_loop_test(tc, connections_of_many_accounts_are_kept, 0,
+			    SEEDS);
 	return suite_main("pooled_load", tc);
 }
--- a/packages/sched/src/connections.c
+++ b/packages/sched/src/connections.c
@@ -82,6 +82,24 @@
 	return i->n_idle > 1 ? rate / (n * n) : rate;
 }
 
+/* Whether the account has no other connection than the idle one. */
+static bool is_last(const struct sconn_idle *i)
+{
+	return i->n_idle + i->n_busy == 1;
+}
+
+/* Whether an account other than this one has several idle connections. */
+static bool has_several_idle(const struct sconn_idle *idle, unsigned n,
+			     const char *account)
+{
+	unsigned i;
+
+	for (i = 0; i < n; i++)
+		if (idle[i].n_idle > 1 && strcmp(idle[i].account, account) != 0)
+			return true;
+	return false;
+}
+
 /*
  * Closing the connection that was idle for longest closes those of all small
  * accounts in turn, so that each of their statements opens one anew. Closing
@@ -90,6 +108,7 @@
 int sconn_victim(const struct sconn_usage *u, const struct sconn_idle *idle,
 		 unsigned n, const char *account, uint64_t now_us)
 {
+	bool spares_last = has_several_idle(idle, n, account);
 	double least = 0;
 	int best = -1;
 	unsigned i;
@@ -97,7 +116,8 @@
 	for (i = 0; i < n; i++) {
 		double use;
 
-		if (!idle[i].n_idle || !strcmp(idle[i].account, account))
+		if (!idle[i].n_idle || !strcmp(idle[i].account, account) ||
+		    (spares_last && is_last(&idle[i])))
 			continue;
 		use = expected_use(u, &idle[i], now_us);
 		if (best >= 0 && use >= least)
