relay: pooled homes ask how many connections a server has before they open more

A home counts others' connections as the server last reported them. A busy home asks for a status only every ten seconds, so a standby that took over went by an old count: after a refusal at the limit it tried again every 150 ms, and it learned late which connections the servers had dropped.

A home that wants to open a connection asks for a new status if the last one is older than 500 ms. After a refusal it takes all connections that are not its own for others' until the next status. Services whose homes are not pooled are served as before.

--- a/packages/relay/src/conn.c
+++ b/packages/relay/src/conn.c
@@ -444,6 +444,8 @@
 		log_open_refused(s, answer);
 		s->heard_us = now_us;
 		remove_conn(c);
+		if (answer->code == RELAY_TOO_MANY)
+			connlimit_on_full(s);
 		rwait_dispatch(r, now_us);
 		return;
 	}
--- a/packages/relay/src/connlimit.c
+++ b/packages/relay/src/connlimit.c
@@ -23,6 +23,12 @@
  * are used most anyway, and a new one costs a slot 12 ms.
  */
 #define ACCOUNT_IDLE_CLOSE_US (10 * USEC_PER_SEC)
+/*
+ * Homes of a service whose homes are pooled ask for a status that is older than
+ * this when they want to open a connection: one that takes over needs to know
+ * which connections the servers have dropped, and what other homes opened.
+ */
+#define STATUS_FRESH_US (500 * USEC_PER_MSEC)
 /* Idle time after which a spare connection to a nearly full server closes. */
 #define NEARLY_FULL_CLOSE_US (600 * USEC_PER_MSEC)
 
@@ -228,6 +234,8 @@
 
 	if (rconn_is_opening(s, account))
 		return;
+	if (s->service->pooled && now_us > s->status_at_us + STATUS_FRESH_US)
+		rserver_probe_soon(s);
 	if (s->service->pooled && *account &&
 	    !sconn_should_open(count_busy(s, account), 0, 1,
 			       session->run.wait.cost_us))
@@ -240,6 +248,20 @@
 	rconn_open(s, account, now_us);
 }
 
+/*
+ * All connections that are not this proxy's are others', whatever the server
+ * reported before. Otherwise a home would try again with each statement until
+ * the next status.
+ */
+void connlimit_on_full(struct rserver *s)
+{
+	if (!s->service->pooled)
+		return;
+	s->status.connections = s->service->max_connections;
+	s->status_own_conns = s->n_conns - s->opening.length;
+	rserver_probe_soon(s);
+}
+
 /* Counts a use of the account's connections. */
 void connlimit_on_used(struct rserver *s, const struct rsession *session,
 		       uint64_t now_us)
--- a/packages/relay/src/connlimit.h
+++ b/packages/relay/src/connlimit.h
@@ -16,6 +16,8 @@
 /* Opens a connection for the session's account, if that is worth its cost. */
 void connlimit_open(struct rserver *s, const struct rsession *session,
 		    uint64_t now_us);
+/* The server refused a connection because its limit is reached. */
+void connlimit_on_full(struct rserver *s);
 /* The session begins to use a connection to the server. */
 void connlimit_on_used(struct rserver *s, const struct rsession *session,
 		       uint64_t now_us);
