relay: retries of a pooled service's statements go to homes by rank, too

A statement whose first try failed was sent to the cheapest of the remaining homes. When the first home fell silent, the retries were spread over both standbys, which opened connections at the same time and met the servers' limit.

A retry goes to the home that ranks first among those that can be preferred and have not failed the statement; if there is none, to the cheapest as before.

--- a/packages/relay/src/via.c
+++ b/packages/relay/src/via.c
@@ -502,11 +502,24 @@
 				 now_us);
 }
 
+/* Whether an earlier try of the statement failed there. */
+static bool has_failed(const struct rrun *run, const struct rserver *s)
+{
+	unsigned i;
+
+	for (i = 0; i < run->tries; i++)
+		if (run->failed_by[i] == s)
+			return true;
+	return false;
+}
+
 /*
- * The home that ranks first among those that may be preferred; NULL: none. A
- * home of the service counts only those that rank before itself.
+ * The home that ranks first among those that may be preferred and have not
+ * failed the session's statement; NULL: none. A home of the service counts only
+ * those that rank before itself.
  */
 static struct rserver *first_preferred(struct rservice *via, struct rservice *v,
+				       const struct rsession *session,
 				       uint64_t now_us)
 {
 	const GPtrArray *names = role_homes(v);
@@ -521,7 +534,8 @@
 		if (!s)
 			continue;
 		note_home(s, now_us);
-		if (splace_home_is_preferred(&s->home, now_us))
+		if (!has_failed(&session->run, s) &&
+		    splace_home_is_preferred(&s->home, now_us))
 			return s;
 	}
 	return NULL;
@@ -541,7 +555,7 @@
 		return false;
 	via = via_of(v, profile->database, now_us);
 	via->wanted_at_us = now_us;
-	if (first_preferred(via, v, now_us))
+	if (first_preferred(via, v, s, now_us))
 		return true;
 	open_homes(via, now_us);
 	return false;
@@ -574,8 +588,8 @@
 	via->wanted_at_us = now_us;
 	if (v->is_home && !rrun_has_time_for_peer(s, now_us))
 		return;
-	if (v->pooled && !s->run.tries)
-		best = first_preferred(via, v, now_us);
+	if (v->pooled)
+		best = first_preferred(via, v, s, now_us);
 	if (!best)
 		best = cheapest_home(via, s, now_us);
 	if (!best) {
--- a/packages/relay/tests/test_pooled.c
+++ b/packages/relay/tests/test_pooled.c
@@ -7,6 +7,7 @@
 
 #include <celeryquay/suite.h>
 
+#define TAKEOVER_US (2 * USEC_PER_SEC) /* until a standby serves */
 #define GOOD_AGAIN_US USEC_PER_SEC /* before a home is preferred again */
 #define SEEDS 6
 
@@ -183,6 +184,48 @@
 }
 END_TEST
 
+enum home_fault { HOME_KILLED, HOME_ISOLATED, HOME_FAULTS };
+
+/* What was sent by the end of `us` after the fault may be in doubt. */
+static void check_only_in_flight_in_doubt(const struct mix *m,
+					  uint64_t fault_us, uint64_t us)
+{
+	ck_assert_uint_le(mix_sum(m).last_in_doubt_us, fault_us + us);
+}
+
+/*
+ * Guards against callers that wait for a first home that died or fell silent,
+ * or that learn nothing about writes which were not even sent to it. A write in
+ * flight to a home that falls silent is in doubt; until the proxy notices, more
+ * are sent there.
+ */
+START_TEST(a_standby_takes_over)
+{
+	struct fake *f = start((uint32_t)_i / HOME_FAULTS);
+	bool killed = _i % HOME_FAULTS == HOME_KILLED;
+	unsigned first = pooled_ranked(f, 0), second = pooled_ranked(f, 1);
+	uint64_t fault_us;
+	unsigned ran;
+	struct mix m;
+
+	mix_start(f, &m, 1u << first);
+	fake_run(f, 2 * USEC_PER_SEC + (uint64_t)_i * MS);
+	fault_us = f->now_us;
+	if (killed)
+		pooled_kill(f, first);
+	else
+		pooled_isolate(f, first, true);
+	fake_run(f, TAKEOVER_US);
+	check_only_in_flight_in_doubt(&m, fault_us,
+				      killed ? 10 * MS : TAKEOVER_US);
+	ran = f->relays[second].n_ran;
+	check_all_succeed(f, &m, 2 * USEC_PER_SEC);
+	ck_assert_uint_gt(f->relays[second].n_ran, ran + 200);
+	ck_assert_uint_eq(f->n_full, 0);
+	mix_end(f, &m);
+}
+END_TEST
+
 /*
  * Guards against statements that follow a home that flaps: one that is reached
  * again must be good for a second before it is preferred again, and then is.
@@ -280,6 +323,7 @@
 	tcase_add_loop_test(tc, a_new_database_is_served_by_the_first_home, 0,
 			    SEEDS);
 	tcase_add_loop_test(tc, homes_are_as_before_without_pooling, 0, 3);
+	tcase_add_loop_test(tc, a_standby_takes_over, 0, SEEDS * HOME_FAULTS);
 	tcase_add_loop_test(tc, a_home_is_preferred_again_after_a_second, 0,
 			    SEEDS);
 	tcase_add_loop_test(tc, statements_go_on_with_an_older_list, 0, SEEDS);
--- a/packages/relay/tests/test_pooled_load.c
+++ b/packages/relay/tests/test_pooled_load.c
@@ -13,6 +13,7 @@
 #define OPEN_WORK_US (12 * MS) /* for which a new connection does */
 #define WARM_UP_US (3 * USEC_PER_SEC)
 #define LOAD_US (10 * USEC_PER_SEC)
+#define TAKEOVER_US (2 * USEC_PER_SEC) /* until a standby serves */
 
 static double share(unsigned n, unsigned of)
 {
@@ -277,6 +278,30 @@
 }
 END_TEST
 
+/*
+ * The first home falls silent; servers count its connections for three more
+ * seconds. Guards against a standby that finds none left.
+ */
+START_TEST(a_standby_finds_connections)
+{
+	struct load loads[MANY_ACCOUNTS];
+	struct fake *f = start_many_accounts((uint32_t)_i, loads, true);
+	unsigned n_sent = 0, n_ok = 0, i;
+
+	pooled_isolate(f, pooled_ranked(f, 0), true);
+	fake_run(f, TAKEOVER_US);
+	measure(f, loads, MANY_ACCOUNTS);
+	for (i = 0; i < MANY_ACCOUNTS; i++) {
+		n_sent += loads[i].n_sent;
+		n_ok += loads[i].n_ok;
+		check_refusals(&loads[i]);
+	}
+	ck_assert_double_ge(share(n_ok, n_sent), 0.95);
+	ck_assert_uint_eq(f->n_full, 0);
+	end(f, loads, MANY_ACCOUNTS);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("pooled_load");
@@ -289,5 +314,6 @@
 	tcase_add_loop_test(tc, reads_avoid_a_slow_replica, 0, SEEDS);
 	tcase_add_loop_test(tc, connections_of_many_accounts_are_kept, 0,
 			    SEEDS);
+	tcase_add_loop_test(tc, a_standby_finds_connections, 0, SEEDS);
 	return suite_main("pooled_load", tc);
 }
