relay: pooled homes serve statements of proxies that don't pool them

A rolling stop from an older version had callers of old proxies refused, for two reasons. An old proxy says how much of its queue timeout is left, some 30 ms; a pooled home took that for all the time until the statement's timeout, so that the statement was late at once, behind all others, and refused unless twice its service time fitted into half of it. And an old proxy, or one that reads a new list first, asks a proxy that is not a home yet, or has just started: it had to connect and find the primary within the queue timeout.

A wait that is not longer than the queue timeout is taken for what is left of that. At a proxy that has just become a home of a pooled service, statements of other proxies wait up to 150 ms for a server.

--- a/packages/relay/src/wait.c
+++ b/packages/relay/src/wait.c
@@ -23,6 +23,13 @@
  * 2 to 3 ms.
  */
 #define PEER_ROUND_TRIP_US (4 * USEC_PER_MSEC)
+/*
+ * A proxy that becomes a home of a service whose homes are pooled, as when it
+ * is asked as a spare, has to connect to the servers and find the primary
+ * first. The statements that come meanwhile wait this long: with the usual
+ * queue timeout, 30 ms, some were refused after each change of the list.
+ */
+#define NEW_HOME_WAIT_US (150 * USEC_PER_MSEC)
 /* After how long a refused caller is told to retry, at least. */
 #define MIN_RETRY_AFTER_US (100 * USEC_PER_MSEC)
 
@@ -80,11 +87,18 @@
 
 /*
  * Time that the statement has spent elsewhere, on its way here. A proxy that
- * leaves it to a home says how much of its time is left.
+ * leaves it to a home says how much of its time is left. One that does not pool
+ * homes, as of an older version, says how much of its queue timeout is left,
+ * which is far less; taken for the time left, it would have nearly all such
+ * statements refused.
  */
 static uint64_t elapsed_us(const struct relay_profile *profile,
 			   uint64_t wait_us)
 {
+	uint64_t queue_us = queue_timeout_us(profile, false);
+
+	if (wait_us && wait_us <= queue_us)
+		return queue_us - wait_us;
 	return wait_us && wait_us < profile->timeout_us ?
 		       profile->timeout_us - wait_us :
 		       0;
@@ -112,6 +126,8 @@
 
 		run->deadline_us -= spent_us;
 		run->due_us -= MIN(spent_us, profile->target_latency_us);
+		if (s->peer && !(v->is_home && v->primary_usable_at_us))
+			timeout_us = MAX(timeout_us, NEW_HOME_WAIT_US);
 	} else if (wait_us) {
 		timeout_us = MIN(wait_us, profile->timeout_us);
 	}
--- a/packages/relay/tests/test_pooled.c
+++ b/packages/relay/tests/test_pooled.c
@@ -252,6 +252,72 @@
 }
 END_TEST
 
+/* A planned stop of the relay's process; callers of others go on. */
+static void stop_relay(struct fake *f, unsigned relay)
+{
+	f->relays[relay].unlisted = true;
+	relay_stop(f->relays[relay].relay, f->now_us);
+	fake_publish_lists(f);
+	fake_run(f, 3 * USEC_PER_SEC);
+}
+
+/* It starts again, as a relay of the current version. */
+static void start_relay_again(struct fake *f, unsigned relay)
+{
+	f->relays[relay].old = false;
+	f->relays[relay].capacity = pooled_options().capacities[relay];
+	fake_restart_relay(f, relay);
+	f->relays[relay].unlisted = false;
+	fake_publish_lists(f);
+	fake_run(f, 3 * USEC_PER_SEC);
+}
+
+/*
+ * The proxies of a fleet are replaced by a newer version one after the other.
+ * Guards against callers that are refused because old and new proxies disagree
+ * on the homes, and while a home stops.
+ */
+START_TEST(nobody_is_refused_in_a_rolling_stop)
+{
+	struct fake_options o = pooled_options();
+	struct fake *f;
+	struct load sum;
+	unsigned i;
+	struct mix m;
+
+	for (i = 0; i < POOLED_RELAYS / 2; i++) {
+		o.old[i] = true;
+		o.capacities[i] = (struct splace_capacity){ 0 };
+	}
+	f = pooled_start((uint32_t)_i, &o);
+	for (i = 0; i < GROUP_SIZE; i++) {
+		f->servers[i].work_us = 20 * MS;
+		f->servers[i].queue_us = 300 * MS;
+	}
+	ck_assert(!pooled_service(f, 0)->pooled);
+	ck_assert(pooled_service(f, POOLED_RELAYS - 1)->pooled);
+	mix_start(f, &m, 0);
+	fake_run(f, 2 * USEC_PER_SEC);
+	mix_reset(&m);
+	for (i = 0; i < POOLED_RELAYS; i++) {
+		unsigned k;
+
+		for (k = 0; k < RELAY_KINDS; k++)
+			m.loads[k].avoid = 1u << i;
+		stop_relay(f, i);
+		start_relay_again(f, i);
+	}
+	sum = mix_sum(&m);
+	ck_assert_uint_eq(sum.n_refused, 0);
+	ck_assert_uint_eq(sum.n_in_doubt, 0);
+	ck_assert_uint_eq(sum.n_failed, 0);
+	for (i = 0; i < POOLED_RELAYS; i++)
+		ck_assert(pooled_service(f, i)->pooled);
+	check_all_succeed(f, &m, 2 * USEC_PER_SEC);
+	mix_end(f, &m);
+}
+END_TEST
+
 /* Gives the relay a list of proxies without those of that bit set. */
 static void give_list_without(struct fake *f, unsigned relay, unsigned missing)
 {
@@ -326,6 +392,7 @@
 	tcase_add_loop_test(tc, a_standby_takes_over, 0, SEEDS * HOME_FAULTS);
 	tcase_add_loop_test(tc, a_home_is_preferred_again_after_a_second, 0,
 			    SEEDS);
+	tcase_add_loop_test(tc, nobody_is_refused_in_a_rolling_stop, 0, SEEDS);
 	tcase_add_loop_test(tc, statements_go_on_with_an_older_list, 0, SEEDS);
 	tcase_add_loop_test(tc, statements_go_on_while_proxies_are_not_listed,
 			    0, SEEDS);
