--- a/packages/relay/src/scheduler.c
+++ b/packages/relay/src/scheduler.c
@@ -235,11 +235,14 @@
 	return due_us + (run->deadline_us - due_us) / 2;
 }
 
-/* Refuses the run if it won't be served in time. */
+/*
+ * Refuses the run if it won't be served in time. Its work still counts as ahead
+ * of those behind it, since its caller is expected to retry: without that, one
+ * account at eight times its rate cost others 0.036 of service in a test.
+ */
 static void check(struct rsession *s, struct squeue_forecast *forecast,
 		  uint64_t now_us)
 {
-	const struct squeue_forecast before = *forecast;
 	struct rrun *run = &s->run;
 	struct rservice *v = run->queued_at;
 	struct squeue_room room;
@@ -256,7 +259,6 @@
 	run->forecast_us = request.wait_us;
 	if (verdict == SADMIT_WAIT)
 		return;
-	*forecast = before; /* what is refused is not ahead of the others */
 	rmetrics_refused(s->relay, verdict);
 	rwait_refuse(s, retry_after_us(v, run, &room, &request, now_us),
 		     now_us);
--- a/packages/relay/src/via.c
+++ b/packages/relay/src/via.c
@@ -503,10 +503,36 @@
 }
 
 /*
- * The home that ranks first among those that may be preferred; NULL: none. A
- * home of the service counts only those that rank before itself.
+ * Notes whether the home can be used now. One that is still being connected to
+ * is not known to be bad: it need not be good for a while before it is
+ * preferred.
+ */
+static void note_home(struct rserver *s, uint64_t now_us)
+{
+	if (s->heard_us || s->failing_since_us)
+		splace_home_note(&s->home,
+				 rserver_is_up(s) && !is_bad_home(s, now_us),
+				 now_us);
+}
+
+/* Whether an earlier try of the statement failed there. */
+static bool has_failed(const struct rrun *run, const struct rserver *s)
+{
+	unsigned i;
+
+	for (i = 0; i < run->tries; i++)
+		if (run->failed_by[i] == s)
+			return true;
+	return false;
+}
+
+/*
+ * The home that ranks first among those that may be preferred and have not
+ * failed the session's statement; NULL: none. A home of the service counts only
+ * those that rank before itself.
  */
 static struct rserver *first_preferred(struct rservice *via, struct rservice *v,
+				       const struct rsession *session,
 				       uint64_t now_us)
 {
 	const GPtrArray *names = role_homes(v);
@@ -521,10 +547,9 @@
 		/* One that was never connected to has not been bad. */
 		if (!s || (!s->heard_us && !s->failing_since_us))
 			continue;
-		splace_home_note(&s->home,
-				 rserver_is_up(s) && !is_bad_home(s, now_us),
-				 now_us);
-		if (splace_home_is_preferred(&s->home, now_us))
+		note_home(s, now_us);
+		if (!has_failed(&session->run, s) &&
+		    splace_home_is_preferred(&s->home, now_us))
 			return s;
 	}
 	return NULL;
@@ -544,7 +569,7 @@
 		return false;
 	via = via_of(v, profile->database, now_us);
 	via->wanted_at_us = now_us;
-	if (first_preferred(via, v, now_us)) {
+	if (first_preferred(via, v, s, now_us)) {
 		v->unserved_since_us = 0; /* another home serves it */
 		return true;
 	}
@@ -579,8 +604,8 @@
 	via->wanted_at_us = now_us;
 	if (v->is_home && !rrun_has_time_for_peer(s, now_us))
 		return;
-	if (v->pooled && !s->run.tries)
-		best = first_preferred(via, v, now_us);
+	if (v->pooled)
+		best = first_preferred(via, v, s, now_us);
 	if (!best)
 		best = cheapest_home(via, s, now_us);
 	if (!best) {
