relay: replicas that answer again are loaded slowly; retry times stay spread

What was known of a server's speed is void when its process is another one. Once the latest retry time had been told, every further caller was told the same 5 s and all returned together; the times now begin with the earliest again.

--- a/packages/relay/src/inflight_limit.c
+++ b/packages/relay/src/inflight_limit.c
@@ -14,6 +14,8 @@
  */
 #include "relay_internal.h"
 
+#include <celeryquay/sched/speed.h>
+
 /*
  * A statement is slow when the server took more than its profile's latency
  * target divided by this: the same time as it may wait in the queue here.
@@ -44,6 +46,21 @@
 	return s->n_busy - MIN(s->n_busy, s->n_overdue) + s->opening.length;
 }
 
+/*
+ * A replica that answers again is loaded slowly: one that flaps would otherwise
+ * be given all reads each time, and lose them. A primary has no substitute.
+ */
+static unsigned usable_slots(const struct rserver *s)
+{
+	unsigned slots = MAX(s->info.slots, 1);
+
+	if (!s->back_at_us || s == s->service->primary)
+		return slots;
+	return MAX((unsigned)(slots *
+			      sspeed_ramp(s->back_at_us, s->relay->ticked_us)),
+		   1);
+}
+
 /*
  * What waits at the server is in nobody's order. A home through which all
  * statements of a service go keeps the slots busy with one more than they are:
@@ -53,9 +70,7 @@
  */
 static bool is_full_of_own(const struct rserver *s)
 {
-	unsigned most = MAX(s->info.slots, 1) + 1;
-
-	return inflight_running(s) >= most;
+	return inflight_running(s) >= usable_slots(s) + 1;
 }
 
 /* Whether the limit allows no further statement to the server now. */
--- a/packages/relay/src/relay_internal.h
+++ b/packages/relay/src/relay_internal.h
@@ -169,6 +169,7 @@
 	uint64_t disregard_logged;
 	const char *disregard_reason; /* the reason that was logged then */
 	uint64_t failing_since_us; /* since when probes fail, 0: they don't */
+	uint64_t back_at_us; /* when it answered again after that, 0: never */
 	uint64_t probed_at_us; /* when the last probe was sent */
 	uint64_t latency_us; /* smoothed, of callers' statements */
 	struct routlier outlier;
--- a/packages/relay/src/scheduler.c
+++ b/packages/relay/src/scheduler.c
@@ -326,6 +326,12 @@
 		      s->run.wait.cost_us, took_us);
 }
 
+void rsched_on_restarted(const struct rserver *server)
+{
+	if (server->service->sched)
+		sspeed_forget(server->service->sched->speed, server->info.id);
+}
+
 uint64_t rsched_completion_us(const struct rserver *server,
 			      const struct rsession *s, uint64_t now_us)
 {
--- a/packages/relay/src/scheduler.h
+++ b/packages/relay/src/scheduler.h
@@ -32,6 +32,8 @@
 /* A server of the service answered the session's statement. */
 void rsched_on_answer(const struct rsession *s, const struct rserver *server,
 		      enum relay_code code, uint64_t took_us, uint64_t now_us);
+/* The server's process is another one: its speed is not known. */
+void rsched_on_restarted(const struct rserver *server);
 /* When the server would be done with the run, and its account's preference. */
 uint64_t rsched_completion_us(const struct rserver *server,
 			      const struct rsession *s, uint64_t now_us);
--- a/packages/relay/src/server.c
+++ b/packages/relay/src/server.c
@@ -122,6 +122,7 @@
 {
 	rlog_server_event(s, "server-reborn");
 	rconn_close_idle(s);
+	rsched_on_restarted(s);
 	s->refused = s->moved = s->order_pending = false;
 	s->refused_until_us = s->open_after_us = 0;
 	s->applied = (struct position){ 0 };
@@ -244,8 +245,10 @@
 {
 	bool was_paused, same_term;
 
-	if (s->failing_since_us)
+	if (s->failing_since_us) {
 		log_back(s, now_us);
+		s->back_at_us = now_us;
+	}
 	s->heard_us = now_us;
 	s->failing_since_us = 0;
 	s->refused = false;
--- a/packages/sched/src/admission.c
+++ b/packages/sched/src/admission.c
@@ -37,16 +37,18 @@
 /*
  * After how long a refused caller should retry. If all were told the same time,
  * they would return together, most would be refused again, and each has but a
- * few retries.
+ * few retries. Once the latest time has been told, it begins with the earliest
+ * again.
  */
 uint64_t sretry_after_us(struct sretry *r, uint64_t free_after_us,
 			 uint64_t interval_us, uint64_t now_us)
 {
-	uint64_t least_us = MAX(free_after_us, MIN_RETRY_AFTER_US);
-	uint64_t at_us = MAX(now_us + MIN(least_us, MAX_RETRY_AFTER_US),
-			     r->last_at_us + interval_us);
+	uint64_t least_us =
+		CLAMP(free_after_us, MIN_RETRY_AFTER_US, MAX_RETRY_AFTER_US);
+	uint64_t at_us = MAX(now_us + least_us, r->last_at_us + interval_us);
 
-	at_us = MIN(at_us, now_us + MAX_RETRY_AFTER_US);
+	if (at_us > now_us + MAX_RETRY_AFTER_US)
+		at_us = now_us + least_us;
 	r->last_at_us = at_us;
 	return at_us - now_us;
 }
