--- a/packages/relay/src/scheduler.c
+++ b/packages/relay/src/scheduler.c
@@ -40,6 +40,7 @@
 	uint64_t checked_at_us; /* time of the last check of all that waits */
 };
 
+/* A queue in which nothing waits, and no service time is known. */
 struct rsched *rsched_create(void)
 {
 	struct rsched *q = g_new0(struct rsched, 1);
@@ -49,6 +50,7 @@
 	return q;
 }
 
+/* Frees the queue; sessions own its entries. */
 void rsched_destroy(struct rsched *q)
 {
 	if (!q)
@@ -94,6 +96,7 @@
 	return priority == 1 ? WEIGHT_SECOND : 1;
 }
 
+/* Queues the run by its profile, its account and its expected service time. */
 void rsched_push(struct rsession *s, uint64_t now_us)
 {
 	struct rservice *v = service_of(s);
@@ -118,11 +121,13 @@
 	squeue_push(q->queue, &run->wait, now_us);
 }
 
+/* Whether the run waits in a service's queue rather than in that of wait.c. */
 bool rsched_is_queued(const struct rsession *s)
 {
 	return s->run.queued_at != NULL;
 }
 
+/* Takes the run out of its queue; its account pays the expected time. */
 void rsched_on_started(struct rsession *s)
 {
 	squeue_start(s->run.queued_at->sched->queue, &s->run.wait);
@@ -130,6 +135,7 @@
 	s->relay->n_scheduled--;
 }
 
+/* Takes the run out of its queue; its account pays nothing. */
 void rsched_cancel(struct rsession *s)
 {
 	squeue_cancel(s->run.queued_at->sched->queue, &s->run.wait);
@@ -190,6 +196,7 @@
 	}
 }
 
+/* Starts what can be started, service by service. */
 void rsched_dispatch(struct relay *r, uint64_t now_us)
 {
 	unsigned i;
@@ -326,12 +333,17 @@
 		      s->run.wait.cost_us, took_us);
 }
 
+/* Forgets the speed of the server's former process. */
 void rsched_on_restarted(const struct rserver *server)
 {
 	if (server->service->sched)
 		sspeed_forget(server->service->sched->speed, server->info.id);
 }
 
+/*
+ * When the server would be done with the run. A replica that the account
+ * doesn't prefer counts as later.
+ */
 uint64_t rsched_completion_us(const struct rserver *server,
 			      const struct rsession *s, uint64_t now_us)
 {
@@ -348,6 +360,7 @@
 	return done_us + sconn_read_penalty_us(s->account, server->info.id);
 }
 
+/* Adds the queue's length and what was expected of the run to a log line. */
 void rsched_put_inputs(const struct rsession *s, struct log_line *l)
 {
 	const struct rservice *v = service_of(s);
@@ -382,6 +395,7 @@
 	t->comma = ",";
 }
 
+/* Appends the statements that wait, by account and priority, as JSON. */
 void rsched_write_status(const struct rservice *v, GString *out)
 {
 	struct status_text t = { out, "" };
