--- a/packages/base/include/celeryquay/base/settings.h
+++ b/packages/base/include/celeryquay/base/settings.h
@@ -11,6 +11,7 @@
 #include <celeryquay/base/err.h>
 #include <celeryquay/base/pace.h>
 #include <json-glib/json-glib.h>
+#include <math.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -40,6 +41,9 @@
 		  char **out, struct err *err);
 bool settings_int(struct settings *s, const char *key, int64_t min, int64_t max,
 		  int64_t fallback, int64_t *out, struct err *err);
+/* A number from 0 to max that may have a fraction. */
+bool settings_double(struct settings *s, const char *key, double max,
+		     double fallback, double *out, struct err *err);
 /* A number from 0 to a million; a fraction is truncated. */
 bool settings_uint_truncated(struct settings *s, const char *key,
 			     unsigned fallback, unsigned *out, struct err *err);
@@ -62,6 +66,7 @@
 
 /* Passed as `fallback`: the key is required. */
 #define SETTINGS_REQUIRED_INT INT64_MIN
+#define SETTINGS_REQUIRED_DOUBLE INFINITY
 extern const char *const SETTINGS_REQUIRED_STR;
 
 #endif
--- a/packages/base/src/settings.c
+++ b/packages/base/src/settings.c
@@ -1,5 +1,6 @@
 #include <celeryquay/base/settings.h>
 
+#include <math.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
@@ -297,23 +298,35 @@
 	return true;
 }
 
-/* Takes fractions: platforms write bandwidths, say, as 200 or as 200.0. */
-bool settings_uint_truncated(struct settings *s, const char *key,
-			     unsigned fallback, unsigned *out, struct err *err)
+/* Infinity as the fallback means that the key is required. */
+bool settings_double(struct settings *s, const char *key, double max,
+		     double fallback, double *out, struct err *err)
 {
 	JsonNode *node = lookup(s, key);
-	double value;
 
 	if (!node) {
+		if (isinf(fallback))
+			return settings_fail(s, key, err, "missing");
 		*out = fallback;
 		return true;
 	}
 	if (!holds(node, G_TYPE_INT64) && !holds(node, G_TYPE_DOUBLE))
 		return settings_fail(s, key, err, "expected a number");
-	value = json_node_get_double(node);
-	if (!(value >= 0 && value <= COUNT_MAX))
-		return settings_fail(s, key, err, "%g is not from 0 to %d",
-				     value, (int)COUNT_MAX);
+	*out = json_node_get_double(node);
+	if (*out >= 0 && *out <= max)
+		return true;
+	return settings_fail(s, key, err, "%.10g is not from 0 to %.10g", *out,
+			     max);
+}
+
+/* Takes fractions: platforms write bandwidths, say, as 200 or as 200.0. */
+bool settings_uint_truncated(struct settings *s, const char *key,
+			     unsigned fallback, unsigned *out, struct err *err)
+{
+	double value;
+
+	if (!settings_double(s, key, COUNT_MAX, fallback, &value, err))
+		return false;
 	*out = (unsigned)value;
 	return true;
 }
@@ -322,17 +335,8 @@
 bool settings_nonnegative_double(struct settings *s, const char *key,
 				 double *out, struct err *err)
 {
-	JsonNode *node = lookup(s, key);
-
-	if (!node)
-		return settings_fail(s, key, err, "missing");
-	if (!holds(node, G_TYPE_INT64) && !holds(node, G_TYPE_DOUBLE))
-		return settings_fail(s, key, err, "expected a number");
-	*out = json_node_get_double(node);
-	if (*out >= 0 && *out <= RATE_MAX)
-		return true;
-	return settings_fail(s, key, err, "%g is not from 0 to %g", *out,
-			     RATE_MAX);
+	return settings_double(s, key, RATE_MAX, SETTINGS_REQUIRED_DOUBLE, out,
+			       err);
 }
 
 /* Platforms write milliseconds, while the clocks count microseconds. */
