harness: the ports of processes that restart stay reserved

system_test_keys failed now and then: a proxy that was restarted ended without its ready line, "address already in use". The harness let the system choose the ports of proxies and servers at their first start and told them the same ones at a restart. While such a process was down, the system could give its ports to any other that asks for a free one, as other tests on the machine do.

The harness now reserves these ports itself before the first start, with bound sockets that never listen and have SO_REUSEADDR, as the fault proxy does for its routes. The system chooses no port that has a bound socket; the process that is told the port can still listen there.

--- a/packages/harness/src/cluster.c
+++ b/packages/harness/src/cluster.c
@@ -84,7 +84,6 @@
 	args_add(args, "--name");
 	args_add(args, "%s", s->name);
 	args_add(args, "--listen");
-	/* A restarted server keeps its port. */
 	args_add(args, "127.0.0.1:%d", s->port);
 	args_add(args, "--control");
 	args_add(args, "127.0.0.1:%d", s->control);
@@ -124,28 +123,46 @@
 	return ok;
 }
 
+/* Reserves the ports of a process before its first start; it keeps them. */
+static bool reserve_ports(struct cluster *c, int *const *ports, unsigned n,
+			  struct err *err)
+{
+	unsigned i;
+
+	for (i = 0; i < n; i++) {
+		if (!*ports[i])
+			*ports[i] = ports_reserve(c->ports, err);
+		if (!*ports[i])
+			return false;
+	}
+	return true;
+}
+
 /* Starts or restarts a server; primary_term 0: as replica of the first one. */
 bool cluster_start_server(struct cluster *c, unsigned i, unsigned primary_term,
 			  struct err *err)
 {
 	struct cluster_server *s = &c->servers[i];
-	GPtrArray *args = args_create();
+	int *const ports[] = { &s->port, &s->control };
 	bool restarted = s->port != 0;
+	GPtrArray *args;
 	char *path;
 
 	child_destroy(s->child);
+	s->child = NULL;
+	if (!reserve_ports(c, ports, G_N_ELEMENTS(ports), err))
+		return false;
 	if (c->spec.durable) {
 		path = g_build_filename(c->dir, s->name, NULL);
 		g_mkdir_with_parents(path, 0700);
 		g_free(path);
 	}
+	args = args_create();
 	add_server_args(c, args, i);
 	add_role_args(c, args, i, primary_term);
 	s->child = args_start("celeryquay-standin-server", args, err);
 	if (!s->child)
 		return false;
-	s->port = (int)child_ready_int(s->child, "port");
-	s->control = (int)child_ready_int(s->child, "control");
 	return !restarted || send_peer_addresses(c, i);
 }
 
@@ -204,11 +221,14 @@
 bool cluster_start_proxy(struct cluster *c, unsigned i, struct err *err)
 {
 	struct cluster_proxy *p = &c->proxies[i];
+	int *const ports[] = { &p->http, &p->admin, &p->peer };
 	char *text, *name, *path;
 	GPtrArray *args;
 
 	child_destroy(p->child);
 	p->child = NULL;
+	if (!reserve_ports(c, ports, G_N_ELEMENTS(ports), err))
+		return false;
 	g_snprintf(p->name, sizeof(p->name), "proxy-%u", i + 1);
 	if (c->spec.peer_faults && !p->announce &&
 	    !cluster_add_proxy_routes(c, p)) {
@@ -229,9 +249,6 @@
 	g_free(text);
 	if (!p->child)
 		return false;
-	p->http = (int)child_ready_int(p->child, "http");
-	p->admin = (int)child_ready_int(p->child, "admin");
-	p->peer = (int)child_ready_int(p->child, "peer");
 	return !c->spec.peer_faults || cluster_add_proxy_routes(c, p);
 }
 
@@ -273,6 +290,7 @@
 	c->spec = *spec;
 	c->dir = g_dir_make_tmp("celeryquay-XXXXXX", NULL);
 	c->http = http_create();
+	c->ports = ports_create();
 	g_snprintf(c->token, sizeof(c->token), "%08x%08x%08x%08x",
 		   g_random_int(), g_random_int(), g_random_int(),
 		   g_random_int());
@@ -321,6 +339,7 @@
 		child_destroy(c->servers[i].child);
 	child_destroy(c->store);
 	http_destroy(c->http);
+	ports_destroy(c->ports);
 	for (i = 0; i < c->spec.n_databases; i++)
 		g_free(c->database_names[i]);
 	remove_tree(c->dir);
--- a/packages/harness/src/cluster.h
+++ b/packages/harness/src/cluster.h
@@ -7,6 +7,7 @@
  */
 
 #include "child.h"
+#include "ports.h"
 
 #include <celeryquay/client/http.h>
 
@@ -80,6 +81,7 @@
 	char *database_names[CLUSTER_MAX_DATABASES];
 	struct cluster_proxy proxies[CLUSTER_MAX_PROXIES];
 	struct http *http;
+	struct ports *ports; /* of proxies and servers, for their restarts */
 };
 
 /*
--- a/packages/harness/src/cluster_faults.c
+++ b/packages/harness/src/cluster_faults.c
@@ -49,11 +49,7 @@
 	return port;
 }
 
-/*
- * Adds or updates the routes "peer-NAME" and "store-NAME" of a proxy. Until the
- * proxy runs and its port is known, the former has the store's port as a
- * placeholder target.
- */
+/* Adds or updates the routes "peer-NAME" and "store-NAME" of a proxy. */
 bool cluster_add_proxy_routes(struct cluster *c, struct cluster_proxy *p)
 {
 	char *name = g_strconcat("store-", p->name, NULL);
@@ -61,7 +57,7 @@
 	p->store = cluster_route(c, name, c->store_port);
 	g_free(name);
 	name = g_strconcat("peer-", p->name, NULL);
-	p->announce = cluster_route(c, name, p->peer ? p->peer : c->store_port);
+	p->announce = cluster_route(c, name, p->peer);
 	g_free(name);
 	return p->store && p->announce;
 }
