soak: uneven proxies, pressing callers, slow and flapping servers

The soak's proxies were all alike, too few for pooled homes, and its callers all paused between statements, so that capacities, ranks by capacity and queues under pressure met no faults.

A seed now draws home_pooling, cpu and mbps for each proxy (neither alike nor all set), the share of callers that make no pauses while faults last, servers that take 12 to 80 ms instead of 4 for a while, servers that flap by crashing or refusing, and proxies whose links to callers and the store are late by 20 to 120 ms. Peers connect to each other directly, so their links stay as they are.

--- a/tests/soak/caller.c
+++ b/tests/soak/caller.c
@@ -45,6 +45,7 @@
 	struct caller *callers;
 	struct callers_count count;
 	uint64_t fault_us;
+	unsigned n_pressing; /* the last ones of all */
 	bool resting;
 };
 
@@ -178,6 +179,20 @@
 		n->failed++;
 }
 
+static bool is_pressing(const struct caller *c)
+{
+	const struct callers *all = c->all;
+
+	return c >= all->callers + (all->n - all->n_pressing);
+}
+
+static uint64_t pause_us(const struct caller *c)
+{
+	if (is_pressing(c))
+		return 0;
+	return (THINK_MS_LEAST + draw(c->all, THINK_MS_MOST)) * MS;
+}
+
 static void finish(struct caller *c)
 {
 	struct ask *k = c->ask;
@@ -197,9 +212,7 @@
 	    (c->state != 'I' && k->verb == RELAY_COMMIT))
 		hang_up(c);
 	else
-		later(c->all->fleet->loop,
-		      (THINK_MS_LEAST + draw(c->all, THINK_MS_MOST)) * MS, next,
-		      c);
+		later(c->all->fleet->loop, pause_us(c), next, c);
 }
 
 static enum relay_code code_of(struct str word)
@@ -459,6 +472,11 @@
 	return all;
 }
 
+void callers_press(struct callers *all, unsigned percent)
+{
+	all->n_pressing = all->n * percent / 100;
+}
+
 void callers_rest(struct callers *all)
 {
 	all->resting = true;
--- a/tests/soak/caller.h
+++ b/tests/soak/caller.h
@@ -22,6 +22,8 @@
 struct callers_count callers_count(const struct callers *c);
 /* No fault but planned stops before this moment counts as over. */
 void callers_note_fault(struct callers *c);
+/* That many percent make no pauses between statements from now on. */
+void callers_press(struct callers *c, unsigned percent);
 /* They send nothing more. */
 void callers_rest(struct callers *c);
 
--- a/tests/soak/fleet.c
+++ b/tests/soak/fleet.c
@@ -19,7 +19,6 @@
 #define PEERS_PORT 7440
 #define FEED_PORT 7455
 #define METRICS_PORT 9464
-#define MBPS 100
 #define FIRST_HOST 10
 #define METRICS_WAIT_MS 1000
 
@@ -32,19 +31,37 @@
 		   16 + (pid >> 8) % 128, pid % 256, FIRST_HOST + p->index);
 }
 
-static bool write_settings(struct fleet_proxy *p)
+static char *settings_text(const struct fleet_proxy *p)
 {
-	char *text = g_strdup_printf(
-		"{\"relay\":{\"driver\":\"kv\",\"name\":\"%s\","
-		"\"zone\":\"a\",\"log_level\":\"info\","
-		"\"log_decisions\":true},"
-		"\"driver\":{\"callers\":\"%s:%u\",\"peers\":\"%s:%u\","
+	const struct load *load = p->fleet->load;
+	const struct load_proxy *size = &load->proxies[p->index];
+	GString *out = g_string_new("{\"relay\":{");
+
+	if (load->home_pooling)
+		g_string_append_printf(out, "\"home_pooling\":\"%s\",",
+				       load->home_pooling);
+	g_string_append_printf(out,
+			       "\"driver\":\"kv\",\"name\":\"%s\","
+			       "\"zone\":\"a\",\"log_level\":\"info\","
+			       "\"log_decisions\":true},\"driver\":{",
+			       p->name);
+	if (size->cpu)
+		g_string_append_printf(out, "\"cpu\":%s,", size->cpu);
+	g_string_append_printf(
+		out,
+		"\"callers\":\"%s:%u\",\"peers\":\"%s:%u\","
 		"\"feed\":\"%s:%u\",\"mbps\":%u,\"readiness\":\"%s:%u\","
 		"\"metrics\":\"%s:%u\",\"store\":\"127.0.0.1:%u\","
 		"\"control\":\"127.0.0.1:%u\"}}",
-		p->name, p->address, CALLERS_PORT, p->address, PEERS_PORT,
-		p->address, FEED_PORT, MBPS, p->address, FLEET_READY_PORT,
-		p->address, METRICS_PORT, p->store, p->store);
+		p->address, CALLERS_PORT, p->address, PEERS_PORT, p->address,
+		FEED_PORT, size->mbps, p->address, FLEET_READY_PORT, p->address,
+		METRICS_PORT, p->store, p->store);
+	return g_string_free(out, FALSE);
+}
+
+static bool write_settings(struct fleet_proxy *p)
+{
+	char *text = settings_text(p);
 	bool ok;
 
 	p->settings = g_strdup_printf("%s/%s.json", p->fleet->dir, p->name);
@@ -272,7 +289,8 @@
 }
 
 /* Starts all; servers are told to have the fault proxy's ports. */
-struct fleet *fleet_create(uv_loop_t *loop, struct audit *audit, unsigned n,
+struct fleet *fleet_create(uv_loop_t *loop, struct audit *audit,
+			   const struct load *load, unsigned n,
 			   struct groups *groups, uint16_t store_port)
 {
 	struct fleet *f = g_new0(struct fleet, 1);
@@ -280,6 +298,7 @@
 
 	f->loop = loop;
 	f->audit = audit;
+	f->load = load;
 	f->n = n;
 	f->dir = g_dir_make_tmp("celeryquay-soak-XXXXXX", NULL);
 	f->http = http_create();
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -7,10 +7,11 @@
  */
 
 #include "group.h"
+#include "load.h"
 
 #include <child.h>
 
-#define PROXIES_MAX 160
+#define PROXIES_MAX LOAD_PROXIES_MAX
 #define FLEET_READY_PORT 8785
 
 struct fleet;
@@ -37,6 +38,7 @@
 struct fleet {
 	uv_loop_t *loop;
 	struct audit *audit;
+	const struct load *load;
 	char *dir;
 	unsigned n;
 	struct fleet_proxy proxies[PROXIES_MAX];
@@ -48,7 +50,8 @@
 	bool ending;
 };
 
-struct fleet *fleet_create(uv_loop_t *loop, struct audit *audit, unsigned n,
+struct fleet *fleet_create(uv_loop_t *loop, struct audit *audit,
+			   const struct load *load, unsigned n,
 			   struct groups *groups, uint16_t store_port);
 /* Ends all processes; true when each went in time. */
 bool fleet_destroy(struct fleet *f);
--- a/tests/soak/group.c
+++ b/tests/soak/group.c
@@ -271,6 +271,7 @@
 	s->role = index % GROUP_SIZE ? ROLE_REPLICA : ROLE_PRIMARY;
 	s->term = 1;
 	s->lag_us = LAG_US;
+	s->work_us = WORK_US;
 	s->log = g_array_new(FALSE, FALSE, sizeof(unsigned));
 	s->conns = g_ptr_array_new();
 }
--- a/tests/soak/group.h
+++ b/tests/soak/group.h
@@ -18,6 +18,7 @@
 #define GROUPS_MAX 2
 #define SERVERS_MAX (GROUPS_MAX * GROUP_SIZE)
 #define SLOTS 3
+#define WORK_US (4 * MS) /* of a statement, unless the server is slow */
 #define SERVER_ID_SIZE 16
 #define SOAK_AGE_US (300 * MS) /* of bounded reads */
 
@@ -52,6 +53,7 @@
 	GArray *log; /* unsigned: places in the table of commits */
 	unsigned applied;
 	uint64_t free_us[SLOTS];
+	uint64_t work_us; /* a statement takes this long */
 	double sheds; /* share of callers' statements that it refuses */
 	double mutes; /* share of their answers that never come */
 	unsigned n_conns;
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -43,6 +43,7 @@
 	gboolean show_plan;
 	gboolean stay;
 	gboolean returns;
+	gboolean even;
 	gboolean serve;
 };
 
@@ -55,6 +56,7 @@
 	struct fleet *fleet;
 	struct callers *callers;
 	struct plan *plan;
+	struct load load;
 	uv_tcp_t listeners[SERVERS_MAX];
 } soak;
 
@@ -88,6 +90,10 @@
 
 	*n_proxies = (unsigned)g_rand_int_range(rng, 3, 6) + (homes ? 3 : 0);
 	*connections = homes ? 10 : 40;
+	if (soak.load.pools) {
+		*n_proxies = LOAD_POOLED_PROXIES;
+		*connections = LOAD_POOLED_CONNECTIONS;
+	}
 	if (soak.options.proxies)
 		*n_proxies = (unsigned)soak.options.proxies;
 	if (soak.options.max_connections)
@@ -99,6 +105,10 @@
 	unsigned n_proxies, connections, i;
 	uint64_t until_us = later_now_us() + READY_LIMIT_US;
 
+	if (soak.options.even || soak.options.serve)
+		load_even(&soak.load);
+	else
+		load_draw(&soak.load, (guint32)soak.options.seed);
 	draw_size(rng, &n_proxies, &connections);
 	soak.audit = audit_create();
 	soak.groups =
@@ -111,7 +121,7 @@
 				   &soak.groups->servers[i].port))
 			return false;
 	operator_put_config(soak.store, soak.groups);
-	soak.fleet = fleet_create(&soak.loop, soak.audit, n_proxies,
+	soak.fleet = fleet_create(&soak.loop, soak.audit, &soak.load, n_proxies,
 				  soak.groups, store_port(soak.store));
 	if (!soak.fleet)
 		return false;
@@ -130,6 +140,9 @@
 	if (soak.options.returns)
 		plan_add_returns(soak.plan, (uint32_t)soak.options.seed,
 				 (uint64_t)soak.options.seconds * SEC);
+	if (!soak.options.even)
+		plan_add_uneven(soak.plan, (uint32_t)soak.options.seed,
+				(uint64_t)soak.options.seconds * SEC);
 	return true;
 }
 
@@ -231,15 +244,20 @@
 		return false;
 	}
 	run_for(WARM_US);
+	callers_press(soak.callers, soak.load.pressing_percent);
 	plan_start(soak.plan, &soak.loop, soak.fleet, soak.groups, soak.store,
 		   soak.callers);
 	run_for((uint64_t)soak.options.seconds * SEC + PLAN_TAIL_US);
+	callers_press(soak.callers, 0);
 	heal();
 	seconds = recover();
 	callers_rest(soak.callers);
 	print_result(seconds);
 	fleet_destroy(soak.fleet);
 	if (audit_n_wrong(soak.audit) || soak.options.show_plan) {
+		plan = load_text(&soak.load, soak.fleet->n);
+		printf("%s", plan);
+		g_free(plan);
 		plan = plan_text(soak.plan);
 		printf("%s", plan);
 		g_free(plan);
@@ -397,6 +415,10 @@
 		{ "returns", 0, 0, G_OPTION_ARG_NONE, &o->returns,
 		  "The store comes back from older copies, and operators write",
 		  NULL },
+		{ "even", 0, 0, G_OPTION_ARG_NONE, &o->even,
+		  "Proxies and callers alike, no slow or flapping server, no "
+		  "narrow link",
+		  NULL },
 		{ "plan", 0, 0, G_OPTION_ARG_NONE, &o->show_plan,
 		  "Print the faults of each seed", NULL },
 		G_OPTION_ENTRY_NULL
--- a/tests/soak/plan.c
+++ b/tests/soak/plan.c
@@ -8,6 +8,8 @@
 #define FIRST_US (500 * MS)
 #define CHANGES_SEED 0x6d656d62 /* they draw beside the other faults */
 #define RETURNS_SEED 0x72657475 /* they draw beside all others, too */
+#define UNEVEN_SEED 0x756e6576 /* and so do these */
+#define FLAPS_MOST 4 /* they end within PLAN_TAIL_US */
 #define CHANGES_FIRST_US (1500 * MS)
 #define CHANGES_LEAST_MS 2000 /* from one to the next */
 #define CHANGES_MOST_MS 5000
@@ -34,6 +36,8 @@
 	SHED_NO_MORE,
 	MUTE,
 	MUTE_NO_MORE,
+	SLOW,
+	SLOW_NO_MORE,
 	RELEASE,
 	LEAD_CRASH,
 	LEAD_DARK,
@@ -82,6 +86,8 @@
 	[SHED_NO_MORE] = "shed no more",
 	[MUTE] = "mute",
 	[MUTE_NO_MORE] = "mute no more",
+	[SLOW] = "slow",
+	[SLOW_NO_MORE] = "slow no more",
 	[RELEASE] = "release",
 	[LEAD_CRASH] = "crash the primary",
 	[LEAD_DARK] = "darken the primary",
@@ -396,6 +402,63 @@
 	g_array_sort(p->events, by_time);
 }
 
+/* It refuses most statements, or is away, again and again. */
+static void add_flaps(struct plan *p, uint64_t at_us, unsigned server)
+{
+	bool crashes = draw(p, 0, 2);
+	unsigned i, n = draw(p, 2, FLAPS_MOST + 1);
+
+	for (i = 0; i < n; i++) {
+		uint64_t end_us = at_us + draw(p, 100, 600) * MS;
+
+		add(p, at_us, crashes ? CRASH : SHED, server,
+		    crashes ? 0 : draw(p, 60, 101));
+		add(p, end_us, crashes ? RESTART : SHED_NO_MORE, server, 0);
+		at_us = end_us + draw(p, 100, 600) * MS;
+	}
+}
+
+/* All bytes between a proxy and its callers and the store are late. */
+static void add_narrow_link(struct plan *p, uint64_t at_us, uint64_t end_us)
+{
+	struct event e = { .plan = p, .at_us = at_us, .action = DELAY_ROUTE };
+
+	e.index = draw(p, 0, p->n_proxies);
+	e.amount = draw(p, 20, 120);
+	e.route = ROUTE_FRONT;
+	g_array_append_val(p->events, e);
+	e.route = ROUTE_STORE;
+	g_array_append_val(p->events, e);
+	e.action = HEAL_ROUTE;
+	e.at_us = end_us;
+	g_array_append_val(p->events, e);
+	e.route = ROUTE_FRONT;
+	g_array_append_val(p->events, e);
+}
+
+void plan_add_uneven(struct plan *p, uint32_t seed, uint64_t length_us)
+{
+	uint64_t at_us = FIRST_US;
+
+	g_rand_set_seed(p->rng, seed ^ UNEVEN_SEED);
+	while (at_us < length_us) {
+		unsigned server = place_of(draw(p, 0, p->n_servers));
+		unsigned what = draw(p, 0, 3);
+		uint64_t end_us = at_us + draw(p, 1000, 4000) * MS;
+
+		if (what == 0) {
+			add(p, at_us, SLOW, server, draw(p, 12, 80));
+			add(p, end_us, SLOW_NO_MORE, server, 0);
+		} else if (what == 1) {
+			add_flaps(p, at_us, server);
+		} else {
+			add_narrow_link(p, at_us, end_us);
+		}
+		at_us += draw(p, 1000, 4000) * MS;
+	}
+	g_array_sort(p->events, by_time);
+}
+
 static const char *route_name(enum route_kind kind)
 {
 	static const char *const names[] = { "server", "store", "front" };
@@ -503,6 +566,12 @@
 	case MUTE_NO_MORE:
 		s->mutes = 0;
 		break;
+	case SLOW:
+		s->work_us = e->amount * MS;
+		break;
+	case SLOW_NO_MORE:
+		s->work_us = WORK_US;
+		break;
 	default:
 		member_release(s);
 		break;
--- a/tests/soak/plan.h
+++ b/tests/soak/plan.h
@@ -14,6 +14,11 @@
  * writes.
  */
 void plan_add_returns(struct plan *p, uint32_t seed, uint64_t length_us);
+/*
+ * Adds servers that are slow or flap, and proxies with narrow links. They draw
+ * beside the other faults, which stay the same.
+ */
+void plan_add_uneven(struct plan *p, uint32_t seed, uint64_t length_us);
 /* One line for each, "2.350 s: kill proxy-1". */
 char *plan_text(const struct plan *p);
 /* Lets all happen, from now on. */
--- a/tests/soak/server.c
+++ b/tests/soak/server.c
@@ -6,7 +6,6 @@
 
 #include <string.h>
 
-#define WORK_US (4 * MS)
 #define QUEUE_US (60 * MS) /* what would wait longer is shed */
 #define BACKLOG 128
 #define LIE_ONE_IN 50
@@ -411,7 +410,7 @@
 		tell_lies(c, k, &code);
 	}
 	if (code == RELAY_OK) {
-		*slot = MAX(*slot, now_us) + WORK_US;
+		*slot = MAX(*slot, now_us) + c->server->work_us;
 		g_string_append_printf(
 			out, "DATAROW %s\r\nCOMPLETE %s\r\n", k->id,
 			k->signatures->len ?
@@ -479,7 +478,7 @@
 	if (!is_own && chance(s, s->mutes))
 		g_string_free(out, TRUE);
 	else
-		reply(c, out, is_own ? 0 : WORK_US);
+		reply(c, out, is_own ? 0 : s->work_us);
 }
 
 static void on_line(void *ctx, struct str line)
