--- a/tests/soak/load.c
+++ b/tests/soak/load.c
@@ -22,15 +22,19 @@
 		{ "0.5", 200 },	 { "0.5", 10 },	 { NULL, 100 },
 	};
 	GRand *rng = g_rand_new_with_seed(seed ^ LOAD_SEED);
-	unsigned i;
+	unsigned i, n;
+	bool pools;
 
 	l->home_pooling = words[g_rand_int_range(rng, 0, G_N_ELEMENTS(words))];
-	l->pools = g_rand_int_range(rng, 0, 3) == 0;
+	pools = g_rand_int_range(rng, 0, 3) == 0;
 	l->pressing_percent =
 		(unsigned)g_rand_int_range(rng, 0, PRESSING_PERCENT_MAX + 1);
 	for (i = 0; i < LOAD_PROXIES_MAX; i++)
 		l->proxies[i] =
 			sizes[g_rand_int_range(rng, 0, G_N_ELEMENTS(sizes))];
+	n = (unsigned)g_rand_int_range(rng, LOAD_POOLED_PROXIES,
+				       LOAD_POOLED_PROXIES_MOST + 1);
+	l->pooled_proxies = pools ? n : 0;
 	g_rand_free(rng);
 }
 
--- a/tests/soak/load.h
+++ b/tests/soak/load.h
@@ -10,8 +10,12 @@
 #include <stdbool.h>
 
 #define LOAD_PROXIES_MAX 160
-/* A fleet whose homes are pooled; with fewer a service has no five homes. */
+/*
+ * A fleet whose homes are pooled. With fewer proxies all of them connect to the
+ * servers, with fewer connections a service has no more than four homes.
+ */
 #define LOAD_POOLED_PROXIES 11
+#define LOAD_POOLED_PROXIES_MOST 13
 #define LOAD_POOLED_CONNECTIONS 25
 
 struct load_proxy {
@@ -21,7 +25,8 @@
 
 struct load {
 	const char *home_pooling; /* the setting; NULL: not set */
-	bool pools; /* the fleet is large enough for pooled homes */
+	unsigned pooled_proxies; /* in a fleet with pooled homes; 0: a small one
+				  */
 	unsigned pressing_percent; /* callers that make no pauses */
 	struct load_proxy proxies[LOAD_PROXIES_MAX];
 };
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -90,8 +90,8 @@
 
 	*n_proxies = (unsigned)g_rand_int_range(rng, 3, 6) + (homes ? 3 : 0);
 	*connections = homes ? 10 : 40;
-	if (soak.load.pools) {
-		*n_proxies = LOAD_POOLED_PROXIES;
+	if (soak.load.pooled_proxies) {
+		*n_proxies = soak.load.pooled_proxies;
 		*connections = LOAD_POOLED_CONNECTIONS;
 	}
 	if (soak.options.proxies)
