base, relay: initialise two values for the analyser

clang-tidy could not see that settings_double() sets its result whenever it succeeds, nor that the chosen connection is one of those listed. No change of behaviour.

--- a/packages/base/src/settings.c
+++ b/packages/base/src/settings.c
@@ -323,7 +323,7 @@
 bool settings_uint_truncated(struct settings *s, const char *key,
 			     unsigned fallback, unsigned *out, struct err *err)
 {
-	double value;
+	double value = 0;
 
 	if (!settings_double(s, key, COUNT_MAX, fallback, &value, err))
 		return false;
--- a/packages/relay/src/connlimit.c
+++ b/packages/relay/src/connlimit.c
@@ -148,7 +148,7 @@
 {
 	GHashTable *counts = count_conns(s);
 	unsigned n = g_hash_table_size(counts), i = 0;
-	struct sconn_idle *list = g_new(struct sconn_idle, n + 1);
+	struct sconn_idle *list = g_new0(struct sconn_idle, n + 1);
 	struct rconn *found = NULL;
 	GHashTableIter iter;
 	gpointer value;
