--- a/packages/relay/src/connlimit.c
+++ b/packages/relay/src/connlimit.c
@@ -148,7 +148,7 @@
 {
 	GHashTable *counts = count_conns(s);
 	unsigned n = g_hash_table_size(counts), i = 0;
-	struct sconn_idle *list = g_new0(struct sconn_idle, n + 1);
+	struct sconn_idle *list = g_new(struct sconn_idle, n);
 	struct rconn *found = NULL;
 	GHashTableIter iter;
 	gpointer value;
@@ -158,7 +158,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		list[i++] = *(const struct sconn_idle *)value;
 	victim = sconn_victim(s->usage, list, n, account, now_us);
-	if (victim >= 0)
+	if (victim >= 0 && (unsigned)victim < i)
 		found = longest_idle_of(s, list[victim].account);
 	g_free(list);
 	g_hash_table_destroy(counts);
