--- a/packages/relay/src/connlimit.c
+++ b/packages/relay/src/connlimit.c
@@ -59,10 +59,12 @@
  * Whether a home of a service whose homes are pooled may open one more. The
  * first one needs nearly all, and the others some when they take over from it.
  */
-static bool may_open_pooled(const struct rserver *s, unsigned limit)
+static bool may_open_pooled(const struct rserver *s, unsigned limit,
+			    uint64_t now_us)
 {
+	bool starting = now_us < s->relay->started_us + START_PERIOD_US;
 	unsigned reserve = splace_connection_reserve(
-		limit, s->service->rank.n_ranked_before);
+		limit, s->service->rank.n_ranked_before, starting);
 
 	return s->n_conns + others_conns(s) + reserve < limit;
 }
@@ -84,7 +86,7 @@
 	if (!limit || s->n_conns < s->relay->settings.warm_connections)
 		return true;
 	if (s->service->pooled)
-		return may_open_pooled(s, limit);
+		return may_open_pooled(s, limit, now_us);
 	if (there + MIN_FREE_CONNS > limit)
 		return false;
 	if (may_fill_server(s, now_us))
--- a/packages/relay/src/run.c
+++ b/packages/relay/src/run.c
@@ -255,6 +255,10 @@
 		rconn_release(s->conn, now_us);
 	run->code = code;
 	run->sent = false;
+	if (run->tries == MAX_RUN_TRIES && run->pooled) {
+		rwait_refuse_unserved(s, now_us);
+		return;
+	}
 	if (run->tries == MAX_RUN_TRIES) {
 		rrun_fail(s, code == RELAY_MOVED ? RELAY_BUSY : code,
 			  "no server could execute it", now_us);
--- a/packages/sched/src/placement.c
+++ b/packages/sched/src/placement.c
@@ -100,11 +100,16 @@
 	       is_uneven(&facts->fleet);
 }
 
-/* How many of a server's connections a home leaves to the others. */
-unsigned splace_connection_reserve(unsigned limit, unsigned rank)
+/*
+ * How many of a server's connections a home leaves to the others. After a
+ * restart the server still counts those of the former process, so the first
+ * home may use what it left free for a standby.
+ */
+unsigned splace_connection_reserve(unsigned limit, unsigned rank, bool starting)
 {
-	return rank ? STANDBY_RESERVE :
-		      MAX(limit / FIRST_RESERVE_DIVISOR, STANDBY_RESERVE);
+	if (rank || starting)
+		return STANDBY_RESERVE;
+	return MAX(limit / FIRST_RESERVE_DIVISOR, STANDBY_RESERVE);
 }
 
 /* Notes whether the home can be used now. */
--- a/packages/sched/tests/test_placement.c
+++ b/packages/sched/tests/test_placement.c
@@ -76,13 +76,29 @@
 START_TEST(test_a_standby_finds_connections)
 {
 	unsigned limit = 66;
-	unsigned first = limit - splace_connection_reserve(limit, 0);
-	unsigned standby = limit - splace_connection_reserve(limit, 1);
+	unsigned first = limit - splace_connection_reserve(limit, 0, false);
+	unsigned standby = limit - splace_connection_reserve(limit, 1, false);
 
 	ck_assert_uint_ge(standby - first, 12);
 	ck_assert_uint_lt(standby, limit);
-	ck_assert_uint_eq(splace_connection_reserve(0, 0),
-			  splace_connection_reserve(0, 1));
+	ck_assert_uint_eq(splace_connection_reserve(0, 0, false),
+			  splace_connection_reserve(0, 1, false));
+}
+END_TEST
+
+/*
+ * All proxies restart while the server still counts the connections of the
+ * former first home, which used all but its reserve. Guards against a first
+ * home that opens none until the server has dropped those.
+ */
+START_TEST(test_a_restarted_home_finds_connections)
+{
+	unsigned limit = 66;
+	unsigned counted = limit - splace_connection_reserve(limit, 0, false);
+
+	ck_assert_uint_ge(limit - counted -
+				  splace_connection_reserve(limit, 0, true),
+			  12);
 }
 END_TEST
 
@@ -127,6 +143,7 @@
 	tcase_add_test(tc, test_unknown_capacity_has_weight_one);
 	tcase_add_test(tc, test_pooled_only_where_called_for);
 	tcase_add_test(tc, test_a_standby_finds_connections);
+	tcase_add_test(tc, test_a_restarted_home_finds_connections);
 	tcase_add_test(tc, test_a_home_that_flaps_is_not_preferred);
 	tcase_add_test(tc, test_setting);
 	return suite_main("placement", tc);
