--- a/packages/daemon/src/relay_node.c
+++ b/packages/daemon/src/relay_node.c
@@ -448,6 +448,13 @@
 	return ok;
 }
 
+/* Nothing was started: the loop has no handles. */
+static void end_check(struct relay_node *n)
+{
+	uv_loop_close(&n->loop);
+	destroy(n);
+}
+
 /* Runs one relay until it has stopped; returns the exit code. */
 int relay_node_run(const char *settings_path, bool check_only)
 {
@@ -459,11 +466,13 @@
 	if (!load(n, settings_path, check_only, &err)) {
 		fprintf(stderr, "celeryquayd: %s (%d)\n", err.message,
 			err.code);
+		if (check_only)
+			end_check(n);
 		return EXIT_FAILURE;
 	}
 	if (check_only) {
 		printf("settings are good\n");
-		destroy(n);
+		end_check(n);
 		return EXIT_SUCCESS;
 	}
 	uv_run(&n->loop, UV_RUN_DEFAULT);
