relay: log what each server has when one of them is promoted

A promotion that lost acknowledged commits left no line that tells why: `change` names the target and no position.

A `candidate` line for each server tells them apart.

--- a/packages/relay/src/failover.c
+++ b/packages/relay/src/failover.c
@@ -128,11 +128,6 @@
 	enter(v, PHASE_WATCH, now_us);
 }
 
-static bool is_listed_at_address(const struct rserver *s)
-{
-	return s->listed && !s->moved;
-}
-
 static struct position newest_received(const struct rservice *v)
 {
 	struct position newest = { 0 };
@@ -223,21 +218,6 @@
 	return p->refused ? "refused" : "silent";
 }
 
-static bool any_candidate(const struct rservice *v)
-{
-	unsigned i;
-
-	for (i = 0; i < v->servers->len; i++) {
-		struct rserver *s = rservice_server(v, i);
-
-		if (s != v->primary && is_listed_at_address(s) &&
-		    rserver_is_up(s) && !s->info.leaving &&
-		    s->status.role == ROLE_REPLICA)
-			return true;
-	}
-	return false;
-}
-
 /*
  * Whether a server that answers has not reported its role. Failure: a server
  * whose connections are all taken answers this proxy, but not with a status;
@@ -250,8 +230,7 @@
 	for (i = 0; i < v->servers->len; i++) {
 		struct rserver *s = rservice_server(v, i);
 
-		if (is_listed_at_address(s) && rserver_is_up(s) &&
-		    !s->status_at_us)
+		if (s->listed && rserver_is_up(s) && !s->status_at_us)
 			return true;
 	}
 	return false;
@@ -260,7 +239,7 @@
 /* Why the primary must be replaced, NULL if it need not or can't be. */
 static const char *failover_reason(struct rservice *v, uint64_t now_us)
 {
-	if (!any_candidate(v))
+	if (!rtarget_exists(v))
 		return NULL;
 	if (v->primary)
 		return primary_failure(v, now_us);
@@ -377,28 +356,9 @@
 	on_fenced(v, now_us);
 }
 
-static struct rserver *best_target(struct rservice *v)
-{
-	struct rserver *best = NULL;
-	unsigned i;
-
-	for (i = 0; i < v->servers->len; i++) {
-		struct rserver *s = rservice_server(v, i);
-
-		if (s == v->old || s->info.leaving ||
-		    !is_listed_at_address(s) || !rserver_is_up(s) ||
-		    s->status.role != ROLE_REPLICA)
-			continue;
-		if (!best ||
-		    position_cmp(s->status.received, best->status.received) > 0)
-			best = s;
-	}
-	return best;
-}
-
 static void catch_up(struct rservice *v, uint64_t now_us)
 {
-	struct rserver *best = best_target(v);
+	struct rserver *best = rtarget_best(v);
 
 	if (best)
 		rserver_probe_soon(best);
@@ -446,9 +406,9 @@
 static void promote(struct rservice *v, uint64_t now_us)
 {
 	struct relay *r = v->relay;
+	struct rserver *best = rtarget_best(v);
 
-	struct rserver *best = best_target(v);
-
+	rtarget_log_candidates(v, best);
 	if (!best || (v->target && v->target != best)) {
 		abort_change(v, "no server can take over", now_us);
 		return;
--- a/packages/relay/src/relay_internal.h
+++ b/packages/relay/src/relay_internal.h
@@ -7,7 +7,8 @@
  * rrun_ the statement that a session has in flight, rpick_ the choice of the
  * server that runs it, rprimary_ who is primary and for how long that is
  * certain, rtrust_ which replicas' confirmations of that are trusted,
- * rfailover_ failover, the replacement of a primary, rfence_ its fence, rduty_
+ * rfailover_ failover, the replacement of a primary, rtarget_ who may be
+ * promoted, rfence_ the fence, rduty_
  * the duty record, rcleanup_ cleanup after failovers, rpartition_ network
  * partitions, peers_ other proxies, role_ roles, rank_ ranks, via_ homes that
  * sessions go through, raccount_ client accounts, rlimit_ their limits,
@@ -714,6 +715,12 @@
 bool rfence_pauses_reported_again(const struct rservice *v);
 bool rfence_knows_all_servers(const struct rservice *v);
 
+/* target.c */
+bool rtarget_exists(const struct rservice *v);
+struct rserver *rtarget_best(const struct rservice *v);
+void rtarget_log_candidates(const struct rservice *v,
+			    const struct rserver *chosen);
+
 /* failover.c */
 void rfailover_tick(struct rservice *v, uint64_t now_us);
 void rfailover_on_claimed(struct relay *r, enum relay_claim outcome,
