relay: promote no server that may lack an acknowledged commit

One replica was leaving, the other received nothing, the primary crashed, and the one that lagged was promoted.

Cause: rtarget_best() left out a server that leaves before it compared positions. The candidate lines of the commit before show that the position was known: i-2 received 1.328, leaving, not chosen; i-3 received 1.256, chosen. That rules out that i-2 had not been asked, and that the target was chosen before the pause. The class: a change of primary chose by who may stay, never by what was acknowledged; sync_replicas was read and not used.

Change: the newest log of all that answer is promoted, also of a server that leaves, has left the list, or has stepped down; one that stays takes over once it has that log (target.c). No server is promoted that may lack an acknowledged commit while one that may have it can come back: fewer than sync_replicas servers may be unknown, and one need not be known if the target has what the primary had after it was lost, if another has its log, or if it led a term and the target follows in the newest one (durable.c). Servers that the list dropped are remembered for holder_wait_ms, 10 s; a setting, a log line, a gauge and /status show the wait. A leaving primary steps down once a successor is near, which without syncReplicas is awaited for 4 s at most.

Why it holds: each acknowledged commit is on sync_replicas replicas, so the newest log of those that are paused and known has all of them if fewer than that are unknown.

Tried and left out: promoting the old primary again without syncReplicas when nobody caught up after a planned step-down.

--- a/packages/daemon/src/relay_node.c
+++ b/packages/daemon/src/relay_node.c
@@ -242,6 +242,7 @@
 	       read_ms(s, "promote_least_ms", &set->promote_least_us, err) &&
 	       read_ms(s, "claim_hold_ms", &set->claim_hold_us, err) &&
 	       read_ms(s, "gone_after_ms", &set->gone_after_us, err) &&
+	       read_ms(s, "holder_wait_ms", &set->holder_wait_us, err) &&
 	       read_ms(s, "idle_close_ms", &set->idle_close_us, err) &&
 	       read_ms(s, "drain_ms", &set->drain_us, err) &&
 	       read_count(s, "warm_connections", &set->warm_connections, err);
--- a/packages/relay/include/celeryquay/relay/catalog.h
+++ b/packages/relay/include/celeryquay/relay/catalog.h
@@ -39,7 +39,8 @@
 	char *name;
 	/* To each server, from all proxies together; 0: no limit. */
 	unsigned max_connections;
-	unsigned sync_replicas; /* not used by the relay */
+	/* Replicas that receive a commit before it is acknowledged. */
+	unsigned sync_replicas;
 };
 
 struct relay_catalog;
--- a/packages/relay/include/celeryquay/relay/relay.h
+++ b/packages/relay/include/celeryquay/relay/relay.h
@@ -99,6 +99,11 @@
 	uint64_t claim_hold_us;
 	/* A server that left the list is removed after this. */
 	uint64_t gone_after_us;
+	/*
+	 * No server is promoted for this long after one left the list that may
+	 * have acknowledged commits which all others lack; see sync_replicas.
+	 */
+	uint64_t holder_wait_us;
 	uint64_t idle_close_us; /* after this, idle connections are closed */
 	unsigned warm_connections; /* kept open at each server */
 	uint64_t drain_us; /* in a stop, transactions may go on this long */
--- a/packages/relay/src/failover.c
+++ b/packages/relay/src/failover.c
@@ -46,6 +46,7 @@
  */
 #define STEP_DOWN_DELAY_MAX_US (4 * USEC_PER_SEC)
 #define CATCH_UP_TIMEOUT_US (2 * USEC_PER_SEC)
+#define CATCH_UP_PAUSE_TIMEOUT_US USEC_PER_SEC /* from then on */
 #define PROMOTE_TIMEOUT_US (1500 * USEC_PER_MSEC)
 #define SETTLE_TIMEOUT_US (3 * USEC_PER_SEC)
 #define MAX_PROMOTE_RETRIES 3
@@ -173,26 +174,38 @@
 	return v->alive_for_others;
 }
 
-/*
- * Whether a leaving primary may be made to step down. Failure: it steps down
- * while a replica is silent, and there is no primary until that replica has
- * left the list and is given up. Guard: the replica is waited for as long as
- * the leaving primary still serves.
- */
-static bool may_step_down(const struct rservice *v, uint64_t now_us)
+static bool is_any_replica_silent(const struct rservice *v)
 {
 	unsigned i;
 
-	if (now_us > v->primary->leaving_at_us + STEP_DOWN_DELAY_MAX_US)
-		return true;
 	for (i = 0; i < v->servers->len; i++) {
 		const struct rserver *s = rservice_server(v, i);
 
 		if (s != v->primary && !s->moved && !s->refused &&
 		    !rserver_is_up(s))
-			return false;
+			return true;
 	}
-	return true;
+	return false;
+}
+
+/*
+ * Whether a leaving primary may be made to step down. Failure: it steps down
+ * while a replica is silent, and there is no primary until that replica has
+ * left the list and is given up; or while its successor is far behind, and
+ * there is none until that has caught up, or what it lacks is lost. Guard: both
+ * are waited for as long as the leaving primary still serves. A primary whose
+ * commits must not be lost waits for its successor in any case.
+ */
+static bool may_step_down(const struct rservice *v, uint64_t now_us)
+{
+	bool is_late = now_us >
+		       v->primary->leaving_at_us + STEP_DOWN_DELAY_MAX_US;
+
+	if (!is_late && is_any_replica_silent(v))
+		return false;
+	if (!rserver_is_up(v->primary) || (is_late && !v->sync_replicas))
+		return true;
+	return rtarget_is_successor_near(v, now_us);
 }
 
 static const char *primary_failure(struct rservice *v, uint64_t now_us)
@@ -202,8 +215,12 @@
 	uint64_t limit_us = set->suspect_after_us;
 	bool elsewhere;
 
-	if (p->info.leaving)
-		return may_step_down(v, now_us) ? "leaving" : NULL;
+	if (p->info.leaving) {
+		if (may_step_down(v, now_us))
+			return "leaving";
+		rtarget_refresh(v, now_us);
+		return NULL;
+	}
 	if (p->moved ||
 	    (!p->listed &&
 	     now_us > p->unlisted_at_us + set->gone_after_us * 2 / 3))
@@ -277,7 +294,9 @@
 {
 	const char *why = failover_reason(v, now_us);
 
-	if (!why) {
+	if (!why)
+		v->withheld = false;
+	if (!why || rdurable_is_withheld(v, now_us)) {
 		v->act_scheduled = false;
 		return;
 	}
@@ -358,11 +377,11 @@
 
 static void catch_up(struct rservice *v, uint64_t now_us)
 {
-	struct rserver *best = rtarget_best(v);
+	struct rserver *next = rtarget_successor(v);
 
-	if (best)
-		rserver_probe_soon(best);
-	if (best && position_cmp(best->status.received, v->old_position) < 0 &&
+	if (next)
+		rserver_probe_soon(next);
+	if (next && position_cmp(next->status.received, v->old_position) < 0 &&
 	    now_us < v->phase_started_at_us + CATCH_UP_TIMEOUT_US)
 		return;
 	/*
@@ -377,7 +396,8 @@
 	if (!v->relay->guards.distrust_restarted ||
 	    (rfence_pause_others(v, now_us) && rfence_at_most_one_unpaused(v)))
 		on_fenced(v, now_us);
-	else if (now_us > v->phase_started_at_us + CATCH_UP_TIMEOUT_US)
+	else if (now_us > v->phase_started_at_us + CATCH_UP_TIMEOUT_US +
+				  CATCH_UP_PAUSE_TIMEOUT_US)
 		abort_change(v, "a replica could not be paused", now_us);
 }
 
@@ -407,12 +427,18 @@
 {
 	struct relay *r = v->relay;
 	struct rserver *best = rtarget_best(v);
+	const char *by;
 
 	rtarget_log_candidates(v, best);
 	if (!best || (v->target && v->target != best)) {
 		abort_change(v, "no server can take over", now_us);
 		return;
 	}
+	if (rdurable_may_lack_commits(v, best, &by, now_us)) {
+		abort_change(v, "a server that may have more is missing",
+			     now_us);
+		return;
+	}
 	if (!may_be_promoted(v, best, now_us)) {
 		abort_change(v, "another server's promotion may come", now_us);
 		return;
@@ -588,6 +614,8 @@
 		return;
 	if (v->phase < PHASE_PROMOTE)
 		fence_again(v, now_us);
+	else if (stepped_down && s == v->target)
+		return;
 	else if (stepped_down)
 		rserver_order(s, RELAY_STEP_DOWN, v->fence_term);
 	else
--- a/packages/relay/src/primary.c
+++ b/packages/relay/src/primary.c
@@ -121,6 +121,10 @@
 	if (s->status.term != v->samples_term)
 		v->n_samples = 0;
 	v->samples_term = s->status.term;
+	if (s->status.term != v->lead_start.term) {
+		v->lead_start = s->status.received;
+		v->lead_seen_at_us = now_us;
+	}
 	set_term(v, s->status.term, now_us);
 	rprimary_probe_all(v);
 }
--- a/packages/relay/src/registry.c
+++ b/packages/relay/src/registry.c
@@ -48,6 +48,7 @@
 	g_hash_table_insert(r->servers, g_strdup(info->id), s);
 	g_ptr_array_add(v->servers, s);
 	v->had_several_servers |= v->servers->len > 1;
+	rdurable_on_listed(v, info->id);
 	rprimary_on_listed(s, now_us);
 	rlog_server_event(s, "server-listed");
 	return s;
@@ -114,6 +115,7 @@
 	if (v->confirmed_by == s)
 		v->confirmed_by = NULL;
 	g_ptr_array_remove(v->servers, s);
+	rdurable_on_removed(s);
 	return true;
 }
 
@@ -130,6 +132,9 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		if (drop_if_expired(r, value, now_us))
 			g_hash_table_iter_remove(&iter);
+	g_hash_table_iter_init(&iter, r->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		rdurable_expire_missing(value, now_us);
 }
 
 /* Marks the servers that the list names, and unlists the others. */
--- a/packages/relay/src/relay.c
+++ b/packages/relay/src/relay.c
@@ -31,6 +31,7 @@
 		.promote_least_us = 300 * USEC_PER_MSEC,
 		.claim_hold_us = 3 * USEC_PER_SEC,
 		.gone_after_us = 5500 * USEC_PER_MSEC,
+		.holder_wait_us = 10 * USEC_PER_SEC,
 		.idle_close_us = 1500 * USEC_PER_MSEC,
 		.warm_connections = 1,
 		.drain_us = 3 * USEC_PER_SEC,
@@ -182,6 +183,7 @@
 
 		v->configured = true;
 		v->max_connections = conf->max_connections;
+		v->sync_replicas = conf->sync_replicas;
 	}
 }
 
--- a/packages/relay/src/relay_internal.h
+++ b/packages/relay/src/relay_internal.h
@@ -8,13 +8,13 @@
  * server that runs it, rprimary_ who is primary and for how long that is
  * certain, rtrust_ which replicas' confirmations of that are trusted,
  * rfailover_ failover, the replacement of a primary, rtarget_ who may be
- * promoted, rfence_ the fence, rduty_
- * the duty record, rcleanup_ cleanup after failovers, rpartition_ network
- * partitions, peers_ other proxies, role_ roles, rank_ ranks, via_ homes that
- * sessions go through, raccount_ client accounts, rlimit_ their limits,
- * rgrantor_ the proxies that grant tokens of these, routlier_ servers that fail
- * in part, inflight_ limits of what is in flight at a server, rlog_ log lines,
- * rmetrics_ metrics, rstatus_ what /status says.
+ * promoted, rdurable_ whether it has all that was acknowledged, rfence_ the
+ * fence, rduty_ the duty record, rcleanup_ cleanup after failovers, rpartition_
+ * network partitions, peers_ other proxies, role_ roles, rank_ ranks, via_
+ * homes that sessions go through, raccount_ client accounts, rlimit_ their
+ * limits, rgrantor_ the proxies that grant tokens of these, routlier_ servers
+ * that fail in part, inflight_ limits of what is in flight at a server, rlog_
+ * log lines, rmetrics_ metrics, rstatus_ what /status says.
  */
 
 #include <celeryquay/base/log_event.h>
@@ -126,6 +126,7 @@
 	uint64_t seen_pause_at_us; /* when that pause was first seen */
 	uint64_t listed_at_us; /* when it was first listed */
 	uint64_t unlisted_at_us; /* when it left the list, 0: it is listed */
+	uint64_t refused_at_us; /* when `refused` was first seen, if it is */
 	uint64_t leaving_at_us; /* when it was first listed as leaving */
 
 	struct rconn *probing; /* carries the probe in flight, or NULL */
@@ -147,6 +148,9 @@
 	uint64_t lag_seen_at_us; /* when it last lacked what a read must see */
 	uint64_t lag_us; /* upper bound of its lag, NEVER_US: unknown */
 	struct relay_status status; /* the last one received */
+	struct position received_max; /* the newest it ever reported */
+	/* Since when it reports less than that, 0: it doesn't. */
+	uint64_t log_lost_at_us;
 	uint64_t status_at_us; /* when that was asked for, 0: no status yet */
 	unsigned status_own_conns; /* this proxy's connections to it then */
 	uint64_t heard_us; /* when the last answer came, 0: never */
@@ -222,6 +226,7 @@
 	bool alive_for_others;
 	bool act_scheduled; /* act_not_before_us is set for this failure */
 	bool stepped_down; /* the old primary confirmed its step-down */
+	bool withheld; /* no promotion: who may have more is missing */
 	unsigned n_samples; /* ever taken; index of the next modulo the size */
 	bool pooled; /* one of its homes runs all, if it can; placement.c */
 	struct rsched *sched; /* what waits here, NULL: nothing yet */
@@ -235,15 +240,22 @@
 	/* Version of the homes; with `peers`: the one listed last, or 0. */
 	unsigned homes_version;
 	unsigned max_connections;
+	/* How many replicas have a commit before it is acknowledged. */
+	unsigned sync_replicas;
 	uint64_t primary_usable_at_us; /* when a primary was last usable here */
 	/* Since when statements have no usable primary or home, or 0. */
 	uint64_t unserved_since_us;
 	GPtrArray *servers; /* struct rserver */
+	/* Servers that were removed lately, struct rholder; see durable.c */
+	GPtrArray *missing;
 	bool had_several_servers; /* it once had several servers at once */
 
 	struct rserver *primary; /* NULL: not known */
 	uint64_t term; /* the highest seen */
 	uint64_t term_seen_at_us; /* when that was first seen */
+	/* The primary's log when it was first seen to lead in its term. */
+	struct position lead_start;
+	uint64_t lead_seen_at_us; /* when that was */
 	uint64_t primary_changes; /* how often `primary` changed */
 	/* The lease's start: a replica knew of no higher term then. */
 	uint64_t confirmed_us;
@@ -716,11 +728,27 @@
 bool rfence_knows_all_servers(const struct rservice *v);
 
 /* target.c */
+bool rtarget_is_replica(const struct rserver *s);
 bool rtarget_exists(const struct rservice *v);
+bool rtarget_may_be_leaving(const struct rservice *v);
 struct rserver *rtarget_best(const struct rservice *v);
+struct rserver *rtarget_successor(const struct rservice *v);
+bool rtarget_is_successor_near(const struct rservice *v, uint64_t now_us);
+void rtarget_refresh(const struct rservice *v, uint64_t now_us);
 void rtarget_log_candidates(const struct rservice *v,
 			    const struct rserver *chosen);
 
+/* durable.c */
+GPtrArray *rdurable_missing_new(void);
+void rdurable_on_status(struct rserver *s, uint64_t now_us);
+void rdurable_on_removed(const struct rserver *s);
+void rdurable_on_listed(struct rservice *v, const char *id);
+void rdurable_expire_missing(struct rservice *v, uint64_t now_us);
+bool rdurable_may_lack_commits(const struct rservice *v,
+			       const struct rserver *target, const char **by,
+			       uint64_t now_us);
+bool rdurable_is_withheld(struct rservice *v, uint64_t now_us);
+
 /* failover.c */
 void rfailover_tick(struct rservice *v, uint64_t now_us);
 void rfailover_on_claimed(struct relay *r, enum relay_claim outcome,
--- a/packages/relay/src/rmetrics.c
+++ b/packages/relay/src/rmetrics.c
@@ -29,6 +29,7 @@
 	struct counter *servers_down;
 	struct counter *proxies;
 	struct counter *without_primary;
+	struct counter *withheld;
 	struct counter *log_dropped;
 };
 
@@ -93,6 +94,9 @@
 				   "celeryquay_relay_services_without_primary",
 				   "services that this proxy connects to and "
 				   "whose primary it can't use");
+	m->withheld = gauge(set, "celeryquay_relay_promotions_withheld",
+			    "services whose failed primary is not replaced, "
+			    "as a server that may have more is missing");
 	m->log_dropped = gauge(set, "celeryquay_log_dropped_lines",
 			       "log lines dropped since the start");
 }
@@ -266,14 +270,16 @@
 {
 	GHashTableIter iter;
 	gpointer value;
-	int64_t n = 0;
+	int64_t n = 0, withheld = 0;
 
 	g_hash_table_iter_init(&iter, r->services);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct rservice *v = value;
 
 		n += v->is_home && !rprimary_lease_holds(v, now_us);
+		withheld += v->withheld;
 	}
+	counter_set(r->metrics->withheld, withheld);
 	counter_set(r->metrics->without_primary, n);
 }
 
--- a/packages/relay/src/server.c
+++ b/packages/relay/src/server.c
@@ -265,6 +265,7 @@
 	s->status = answer->status;
 	s->status_at_us = sent_us;
 	s->status_own_conns = s->n_conns - s->opening.length;
+	rdurable_on_status(s, now_us);
 	if (was_paused && same_term && s->status.held <= s->status.term)
 		rprimary_on_unpaused(s, now_us);
 	rprimary_on_status(s, sent_us, now_us);
@@ -278,8 +279,10 @@
 		log_lost(s, refused);
 		s->failing_since_us = since_us;
 	}
-	if (refused)
-		s->refused = true;
+	if (!refused || s->refused)
+		return;
+	s->refused = true;
+	s->refused_at_us = s->relay->ticked_us + TICK_US;
 }
 
 /* Sends a probe with the next tick. */
@@ -443,6 +446,7 @@
 	v->homes = g_ptr_array_new_with_free_func(g_free);
 	v->spares = g_ptr_array_new_with_free_func(g_free);
 	v->servers = g_ptr_array_new();
+	v->missing = rdurable_missing_new();
 	return v;
 }
 
@@ -452,6 +456,7 @@
 	struct rservice *v = service;
 
 	g_ptr_array_free(v->servers, TRUE);
+	g_ptr_array_free(v->missing, TRUE);
 	g_ptr_array_free(v->homes, TRUE);
 	g_ptr_array_free(v->spares, TRUE);
 	rsched_destroy(v->sched);
--- a/packages/relay/src/status.c
+++ b/packages/relay/src/status.c
@@ -180,10 +180,12 @@
 	g_string_append_printf(
 		out,
 		"{\"service\":\"%s\",\"term\":%" G_GUINT64_FORMAT
-		",\"primary\":\"%s\",\"holds\":%s,\"servers\":%u,\"pooled\":%s",
+		",\"primary\":\"%s\",\"holds\":%s,\"withheld\":%s,"
+		"\"servers\":%u,\"pooled\":%s",
 		v->name, v->term, v->primary ? v->primary->info.id : "",
 		rprimary_lease_holds(v, now_us) ? "true" : "false",
-		v->servers->len, v->pooled ? "true" : "false");
+		v->withheld ? "true" : "false", v->servers->len,
+		v->pooled ? "true" : "false");
 	if (v->is_home)
 		g_string_append_printf(out, ",\"rank\":%u",
 				       v->rank.n_ranked_before);
--- a/packages/relay/src/trust.c
+++ b/packages/relay/src/trust.c
@@ -94,16 +94,18 @@
 
 /*
  * Whether a change may promote the server. One whose address now belongs to
- * another server is never promoted. If the list is fresh, neither is one that
- * is leaving or whose process is gone. If it is not, a partition may be the
- * reason, and the leaving server may be the only one known of the other side.
+ * another server is never promoted. If the list is fresh, neither is one whose
+ * process is gone or, unless it may be the one with the newest log, one that is
+ * leaving. If it is not, a partition may be the reason, and the leaving server
+ * may be the only one known of the other side.
  */
 static bool can_be_promoted(const struct rserver *s, uint64_t now_us)
 {
 	if (s == s->service->primary || s->moved)
 		return false;
 	return !rtrust_is_list_fresh(s->relay, now_us) ||
-	       (!s->info.leaving && !s->refused);
+	       (!s->refused &&
+		(!s->info.leaving || rtarget_may_be_leaving(s->service)));
 }
 
 /*
--- a/packages/relay/tests/support_group.c
+++ b/packages/relay/tests/support_group.c
@@ -8,6 +8,9 @@
 /* How long until the far end drops a broken connection. */
 #define DROP_DELAY_US (3 * USEC_PER_SEC)
 
+/* How often a primary looks for the replicas that have received a commit. */
+#define SYNC_INTERVAL_US MS
+
 /* A message on a connection, in either direction. */
 struct message {
 	uint64_t key;
@@ -27,6 +30,30 @@
 	return &g_array_index(f->commits, struct fake_commit, number);
 }
 
+static bool has_received(const struct fake *f, const struct fake_server *s,
+			 unsigned commit)
+{
+	unsigned at = commit_of(f, commit)->number;
+
+	return at <= s->log->len &&
+	       g_array_index(s->log, unsigned, at - 1) == commit;
+}
+
+bool fake_is_durable(const struct fake *f, const struct fake_server *primary,
+		     unsigned commit)
+{
+	unsigned i, n = 0;
+
+	for (i = 0; i < f->n_servers; i++) {
+		const struct fake_server *s = &f->servers[i];
+
+		if (s != primary && s->group == primary->group && !s->down &&
+		    !s->dark && has_received(f, s, commit))
+			n++;
+	}
+	return n >= f->sync_replicas;
+}
+
 /* Whether the server has applied the commit. */
 bool fake_log_has(const struct fake *f, const struct fake_server *s,
 		  unsigned commit)
@@ -246,8 +273,8 @@
 	}
 }
 
-/* Appends a commit to the primary's log. */
-static void commit(struct fake *f, struct fake_server *s, unsigned attempt)
+/* Appends a commit to the primary's log; returns its number. */
+static unsigned commit(struct fake *f, struct fake_server *s, unsigned attempt)
 {
 	unsigned number = f->commits->len;
 	struct fake_commit entry = {
@@ -264,6 +291,7 @@
 	g_array_append_val(s->log, number);
 	s->applied = s->log->len;
 	hist_committed(f, number);
+	return number;
 }
 
 static uint64_t *earliest_slot(struct fake_server *s)
@@ -322,18 +350,22 @@
 	return known ? RELAY_OK : RELAY_NO_STATEMENT;
 }
 
-/* Runs a caller's statement: the history checks it, then it takes effect. */
-static void run_caller_statement(struct fake *f, struct fake_conn *c,
-				 struct message *m, struct relay_answer *a)
+/*
+ * Runs a caller's statement: the history checks it, then it takes effect.
+ * Returns the number of the commit that it made, 0: none.
+ */
+static unsigned run_caller_statement(struct fake *f, struct fake_conn *c,
+				     struct message *m, struct relay_answer *a)
 {
 	const struct hist_statement *h = hist_find(f, m->st.id);
+	unsigned number = 0;
 
 	a->code = c->state == 'E' ? RELAY_MALFORMED : refusal(f, c, h, &m->st);
 	if (a->code == RELAY_OK) {
 		hist_ran(f, c, h, &m->st);
 		if (m->st.verb == RELAY_COMMIT ? c->wrote :
 						 h->writes && c->state == 'I')
-			commit(f, c->server, h->attempt);
+			number = commit(f, c->server, h->attempt);
 		c->wrote = c->wrote || h->writes;
 		a->rows = m->st.id;
 		a->text = STR("signature");
@@ -342,6 +374,55 @@
 	}
 	if (m->st.verb == RELAY_COMMIT && a->code != RELAY_BUSY)
 		c->state = 'I';
+	return number;
+}
+
+/* An answer that waits for replicas to receive a commit. */
+struct unsent {
+	uint64_t key; /* of the connection */
+	unsigned commit;
+	uint64_t delay_us; /* of the answer, after that */
+	struct message *answer;
+};
+
+static void unsent_free(gpointer data)
+{
+	struct unsent *u = data;
+
+	if (u->answer)
+		message_free(u->answer);
+	g_free(u);
+}
+
+static void durable_event(struct fake *f, void *data)
+{
+	struct unsent *u = data;
+	struct fake_conn *c = g_hash_table_lookup(f->conns, &u->key);
+	struct unsent *again;
+
+	if (!c)
+		return;
+	if (fake_is_durable(f, c->server, u->commit)) {
+		send_to_relay(f, c, g_steal_pointer(&u->answer), u->delay_us);
+		return;
+	}
+	again = g_memdup2(u, sizeof(*u));
+	u->answer = NULL;
+	fake_at(f, -1, SYNC_INTERVAL_US, durable_event, again, unsent_free);
+}
+
+/* Sends the answer to a commit once enough replicas have received that. */
+static void send_once_durable(struct fake *f, const struct fake_conn *c,
+			      unsigned number, struct message *answer,
+			      uint64_t delay_us)
+{
+	struct unsent *u = g_new0(struct unsent, 1);
+
+	u->key = c->key;
+	u->commit = number;
+	u->answer = answer;
+	u->delay_us = delay_us;
+	fake_at(f, -1, SYNC_INTERVAL_US, durable_event, u, unsent_free);
 }
 
 static void server_event(struct fake *f, void *data)
@@ -351,6 +432,7 @@
 	struct message *out;
 	struct relay_answer a = { .text = STR("-") };
 	uint64_t work_us = 0;
+	unsigned number = 0;
 
 	if (!c || is_lost(f, c))
 		return;
@@ -360,7 +442,7 @@
 		return;
 	}
 	if (m->st.id.len)
-		run_caller_statement(f, c, m, &a);
+		number = run_caller_statement(f, c, m, &a);
 	else if (m->st.verb == RELAY_BEGIN || m->st.verb == RELAY_BEGIN_READ)
 		run_begin(f, c, &m->st, &a);
 	else
@@ -382,9 +464,12 @@
 			c->broken = true;
 		drop_later(f, c, 0);
 	}
-	send_to_relay(f, c, out,
-		      work_us +
-			      (m->st.id.len ? fake_random(f, MS, 5 * MS) : 0));
+	if (m->st.id.len)
+		work_us += fake_random(f, MS, 5 * MS);
+	if (number && f->sync_replicas)
+		send_once_durable(f, c, number, out, work_us);
+	else
+		send_to_relay(f, c, out, work_us);
 }
 
 static void open_peer(struct fake *f, struct fake_conn *c)
--- a/packages/relay/tests/support_group.h
+++ b/packages/relay/tests/support_group.h
@@ -56,9 +56,13 @@
 	unsigned group;
 	char id[8];
 	char service[8];
+	uint16_t port; /* shared with the successor that has its log */
 	bool down; /* crashed: connections are refused */
 	bool dark; /* unresponsive: receives and sends nothing */
 	bool leaving; /* shuts down soon, as planned */
+	bool receives_nothing; /* replication to it has stopped */
+	/* Commits that it receives in one replication interval; 0: any. */
+	unsigned receives_at_once;
 	bool listed; /* in the list of servers */
 	bool forgotten; /* the copy that the store came back from lacks it */
 	bool without_store; /* it can't write its entry */
@@ -140,6 +144,8 @@
 	GHashTable *conns; /* key -> struct fake_conn */
 	unsigned n_serials;
 	unsigned max_connections;
+	/* Replicas that must have a commit before it is acknowledged. */
+	unsigned sync_replicas;
 	unsigned n_opened; /* connections that servers accepted */
 	unsigned n_full; /* connections that servers refused at their limit */
 	uint64_t open_work_us; /* time that opening one occupies a slot */
@@ -212,6 +218,7 @@
 	unsigned priorities[RELAY_KINDS]; /* of the profiles, by kind */
 	unsigned n_accounts; /* 0: callers have no accounts */
 	bool limits; /* accounts have rate limits */
+	unsigned sync_replicas; /* of all services */
 	struct splace_capacity capacities[MAX_RELAYS];
 	bool old[MAX_RELAYS]; /* relays of an older version */
 };
@@ -254,7 +261,10 @@
 unsigned fake_add_replica(struct fake *f, unsigned group);
 /* Starts a server with a crashed one's log under a new id; its index. */
 unsigned fake_rejoin_with_new_id(struct fake *f, unsigned server);
-/* The server is listed as leaving; its process ends after drain_us. */
+/*
+ * The server is listed as leaving; its process ends after drain_us. Its log
+ * can be had again with fake_rejoin_with_new_id().
+ */
 void fake_leave(struct fake *f, unsigned server, uint64_t drain_us);
 void fake_cut(struct fake *f, unsigned relay, unsigned server, bool cut);
 void fake_suspend_relay(struct fake *f, unsigned relay, uint64_t us);
@@ -272,6 +282,9 @@
 void fake_heal(struct fake *f);
 bool fake_log_has(const struct fake *f, const struct fake_server *s,
 		  unsigned commit);
+/* Whether as many replicas have received the commit as must have it. */
+bool fake_is_durable(const struct fake *f, const struct fake_server *primary,
+		     unsigned commit);
 
 /* Revokes an account's only key, or makes it valid again. */
 void fake_set_key_revoked(struct fake *f, unsigned account, bool take);
--- a/packages/relay/tests/support_history.c
+++ b/packages/relay/tests/support_history.c
@@ -596,6 +596,22 @@
 	}
 }
 
+/* A commit that was acknowledged is in the log of each later primary. */
+static void check_durability(struct fake *f)
+{
+	unsigned i;
+
+	for (i = 0; i < f->hist->acked->len; i++) {
+		unsigned commit = g_array_index(f->hist->acked, unsigned, i);
+		const struct fake_commit *c =
+			&g_array_index(f->commits, struct fake_commit, commit);
+
+		if (c->lost)
+			hist_violation(f, "%u.%u was acknowledged and is lost",
+				       (unsigned)c->term, c->number);
+	}
+}
+
 /* Checks the whole history once; later calls return the same text. */
 const char *hist_check(struct fake *f)
 {
@@ -605,6 +621,8 @@
 		return f->hist->wrong->str;
 	f->hist->checked = true;
 	check_attempts(f);
+	if (f->sync_replicas)
+		check_durability(f);
 	if (f->limits)
 		check_limits(f);
 	for (i = 0; i < f->hist->missed->len; i++) {
--- a/packages/relay/tests/support_platform.c
+++ b/packages/relay/tests/support_platform.c
@@ -99,9 +99,10 @@
 static void receive(struct fake *f, struct fake_server *s,
 		    const struct fake_server *p)
 {
-	unsigned number;
+	unsigned number, n = 0;
 
-	while (s->log->len < p->log->len) {
+	while (s->log->len < p->log->len &&
+	       (!s->receives_at_once || n++ < s->receives_at_once)) {
 		number = g_array_index(p->log, unsigned, s->log->len);
 		if (g_array_index(f->commits, struct fake_commit, number).us +
 			    s->lag_us / 2 >
@@ -134,7 +135,8 @@
 		const struct fake_server *old = &f->servers[i];
 
 		if (old->group == s->group && is_reachable(old) &&
-		    old->term == s->term && old->role == ROLE_REPLICA)
+		    old->term == s->term && old->role == ROLE_REPLICA &&
+		    old->was_primary)
 			receive(f, s, old);
 	}
 }
@@ -149,6 +151,8 @@
 		return;
 	if (s->role == ROLE_REPLICA)
 		apply(f, s);
+	if (s->receives_nothing)
+		return;
 	if (!p && is_reachable(s) && s->held <= s->term)
 		receive_from_old_primary(f, s);
 	if (!p || !is_reachable(s) || p->term < s->term || s->held > p->term)
@@ -305,7 +309,7 @@
 			.id = (char *)s->id,
 			.service = (char *)s->service,
 			.host = "10.0.0.1",
-			.port = 1,
+			.port = s->port,
 			.zone = "a",
 			.leaving = s->leaving,
 			.role = s->role,
@@ -718,6 +722,8 @@
 	f->promote_call_delay_us = 0;
 	for (i = 0; i < f->n_servers; i++) {
 		f->servers[i].dark = false;
+		f->servers[i].receives_nothing = false;
+		f->servers[i].receives_at_once = 0;
 		f->servers[i].lag_us = 5 * MS;
 		fake_restart(f, i);
 	}
@@ -747,7 +753,9 @@
 	for (i = 0; i < f->n_groups; i++) {
 		char *name = g_strdup_printf("group%u", i);
 		struct relay_service_conf conf = {
-			.name = name, .max_connections = f->max_connections
+			.name = name,
+			.max_connections = f->max_connections,
+			.sync_replicas = f->sync_replicas,
 		};
 
 		relay_catalog_add_service(c, &conf);
@@ -890,6 +898,7 @@
 	g_assert(f->n_servers < MAX_SERVERS);
 	s->index = f->n_servers++;
 	s->group = group;
+	s->port = (uint16_t)(s->index + 1);
 	g_snprintf(s->id, sizeof(s->id), "s%u", s->index);
 	g_snprintf(s->service, sizeof(s->service), "group%u", group);
 	s->listed = true;
@@ -947,6 +956,7 @@
 	struct fake_server *s = add_server(f, old->group, ROLE_REPLICA);
 
 	old->replaced = true;
+	s->port = old->port;
 	copy_log(s, old);
 	s->was_primary = old->was_primary;
 	if (s->was_primary && s->term == f->top_term[s->group])
@@ -988,6 +998,7 @@
 	f->accounts = o->n_accounts;
 	f->n_accounts = o->n_accounts;
 	f->limits = o->limits;
+	f->sync_replicas = o->sync_replicas;
 	f->home_pooling = o->home_pooling;
 	memcpy(f->priorities, o->priorities, sizeof(f->priorities));
 	f->max_connections = o->n_relays > 4 ? 10 : 20;
--- a/packages/relay/tests/test_status.c
+++ b/packages/relay/tests/test_status.c
@@ -107,6 +107,7 @@
 		ck_assert_str_eq(json_object_get_string_member(v, "primary"),
 				 "s0");
 		ck_assert(json_object_has_member(v, "holds"));
+		ck_assert(json_object_has_member(v, "withheld"));
 		ck_assert_int_eq(json_object_get_int_member(v, "servers"), 3);
 		json_node_unref(root);
 	}
