relay, transport: a planned stop answers what it has accepted

Cause: the process ended 1.5 s after drain_ms, whatever was in flight, and answered nobody. Ruled out: that the session was hung up as one at rest (no such line, and the process would have run on), and that the copy of the late read made the first answer count for nothing (both answers would have come after the end). The class: the stop ended by its own clock instead of by the work that it had accepted.

The process ends as soon as nothing is left; the driver tells the platform's grace, of which transactions have half. 0.5 s before it is over all that is in flight gets an error that is true: BUSY for a read or what no server has, ABORTED in a transaction, INDOUBT for a write or COMMIT that was sent or is being confirmed. What comes then is refused, and unsent answers are waited for. A second signal does the same at once; it used to cut what ran. A third one can't end the process before its last log lines any more. Statements that were sent ahead and read are answered before a session is hung up; they used to be thrown away.

One test asked for that: test_a_hang_up_with_unread_bytes_cuts_no_answer sent 64 statements ahead and wanted one to be handled. What it guards, that bytes which are unread at the end cut no answer, it now asks with statements that are sent after the hang-up; another test asks that all 64 that were sent ahead are answered.

Why it holds: a run that can't be in effect is told as such by the same rule as one whose server was lost; whatever else is in flight is told INDOUBT.

--- a/packages/daemon/src/relay_node.c
+++ b/packages/daemon/src/relay_node.c
@@ -11,8 +11,6 @@
 #include <stdlib.h>
 #include <unistd.h>
 
-/* A planned stop ends at most this long after drain_us. */
-#define STOP_GRACE_MS 1500
 /* Minimum of gone_after_us - authority_us, see check_times(). */
 #define GONE_AFTER_MARGIN_US (2 * USEC_PER_SEC)
 /*
@@ -43,7 +41,6 @@
 	uint64_t tick_due_at_us; /* when the armed tick is due */
 	uv_signal_t on_term, on_int, on_hup;
 	bool stopping;
-	uint64_t stop_begun_at_us; /* when the stop signal came */
 };
 
 /* The event loop on which the whole node runs. */
@@ -110,17 +107,6 @@
 		       next_us > now_us ? (next_us - now_us) / 1000 + 1 : 0, 0);
 }
 
-static bool stop_is_over(const struct relay_node *n, uint64_t now_us)
-{
-	uint64_t limit_us =
-		n->settings.drain_us + STOP_GRACE_MS * USEC_PER_MSEC;
-
-	if (now_us > n->stop_begun_at_us + limit_us)
-		return true;
-	return relay_is_idle(n->relay) &&
-	       now_us > n->stop_begun_at_us + n->settings.drain_us;
-}
-
 static void on_tick(uv_timer_t *timer)
 {
 	struct relay_node *n = timer->data;
@@ -128,7 +114,9 @@
 
 	relay_tick(n->relay, now_us);
 	log_sink_flush_due(now_us);
-	if (n->stopping && stop_is_over(n, now_us)) {
+	if (n->stopping &&
+	    relay_is_stopped(n->relay, n->driver->has_unsent(n->state),
+			     now_us)) {
 		uv_stop(&n->loop);
 		return;
 	}
@@ -151,13 +139,13 @@
 
 	if (n->stopping) {
 		log_signal("stopping-at-once", number);
-		uv_stop(&n->loop);
+		relay_stop_now(n->relay, relay_node_now_us());
+		on_tick(&n->tick);
 		return;
 	}
 	log_signal("stopping", number);
 	n->stopping = true;
-	n->stop_begun_at_us = relay_node_now_us();
-	relay_stop(n->relay, n->stop_begun_at_us);
+	relay_stop(n->relay, relay_node_now_us());
 	n->driver->stop(n->state);
 }
 
@@ -245,6 +233,7 @@
 	       read_ms(s, "holder_wait_ms", &set->holder_wait_us, err) &&
 	       read_ms(s, "idle_close_ms", &set->idle_close_us, err) &&
 	       read_ms(s, "drain_ms", &set->drain_us, err) &&
+	       read_ms(s, "stop_grace_ms", &set->stop_grace_us, err) &&
 	       read_count(s, "warm_connections", &set->warm_connections, err);
 }
 
@@ -336,6 +325,7 @@
 	log_u64(l, "authority_ms", set->authority_us / USEC_PER_MSEC);
 	log_u64(l, "suspect_after_ms", set->suspect_after_us / USEC_PER_MSEC);
 	log_u64(l, "drain_ms", set->drain_us / USEC_PER_MSEC);
+	log_u64(l, "stop_grace_ms", set->stop_grace_us / USEC_PER_MSEC);
 	log_u64(l, "log_sample", set->log_sample);
 	log_u64(l, "dropped_lines", log_sink_dropped());
 	log_event_end(l);
@@ -373,6 +363,21 @@
 		uv_close(handle, NULL);
 }
 
+/*
+ * A signal that comes when its handle is closed would end the process before
+ * the last log lines are written.
+ */
+static void block_signals(void)
+{
+	sigset_t set;
+
+	sigemptyset(&set);
+	sigaddset(&set, SIGTERM);
+	sigaddset(&set, SIGINT);
+	sigaddset(&set, SIGHUP);
+	pthread_sigmask(SIG_BLOCK, &set, NULL);
+}
+
 /*
  * Destroys the driver and closes the node's own handles. They close within a
  * few iterations of the loop; the process ends even if one stays open.
@@ -381,6 +386,7 @@
 {
 	unsigned i;
 
+	block_signals();
 	n->driver->destroy(n->state);
 	n->state = NULL;
 	close_handle((uv_handle_t *)&n->tick);
--- a/packages/daemon/src/relay_node.h
+++ b/packages/daemon/src/relay_node.h
@@ -28,6 +28,8 @@
 	const struct relay_ops *ops; /* ctx: struct relay_driver_state */
 	/* A planned stop begins: the load balancer's check must turn red. */
 	void (*stop)(struct relay_driver_state *d);
+	/* Whether answers wait to be written to callers. */
+	bool (*has_unsent)(const struct relay_driver_state *d);
 	/* SIGHUP: reloads what the driver can reload. */
 	void (*reload)(struct relay_driver_state *d);
 };
--- a/packages/relay/include/celeryquay/relay/relay.h
+++ b/packages/relay/include/celeryquay/relay/relay.h
@@ -106,7 +106,10 @@
 	uint64_t holder_wait_us;
 	uint64_t idle_close_us; /* after this, idle connections are closed */
 	unsigned warm_connections; /* kept open at each server */
-	uint64_t drain_us; /* in a stop, transactions may go on this long */
+	/* In a stop, transactions may go on this long: half of the grace. */
+	uint64_t drain_us;
+	/* From the stop signal until the platform kills the process. */
+	uint64_t stop_grace_us;
 	bool accounts; /* callers need the key of a client account */
 	struct splace_capacity capacity; /* of this proxy */
 	/* Whether one home of a service runs all its statements. */
@@ -252,6 +255,13 @@
  * within drain_us.
  */
 void relay_stop(struct relay *r, uint64_t now_us);
+/* The same, but what is in flight is answered at once. */
+void relay_stop_now(struct relay *r, uint64_t now_us);
+/*
+ * Whether the process may end; to be asked after each tick of a stop. Shortly
+ * before the grace is over, all that is in flight gets an error.
+ */
+bool relay_is_stopped(struct relay *r, bool has_unsent, uint64_t now_us);
 bool relay_is_idle(const struct relay *r);
 /* The process ends: logs the sessions that this cuts off. */
 void relay_end(struct relay *r, uint64_t now_us);
--- a/packages/relay/src/relay.c
+++ b/packages/relay/src/relay.c
@@ -35,6 +35,7 @@
 		.idle_close_us = 1500 * USEC_PER_MSEC,
 		.warm_connections = 1,
 		.drain_us = 3 * USEC_PER_SEC,
+		.stop_grace_us = 6 * USEC_PER_SEC,
 		.log_statements = true,
 		.log_sample = LOG_SAMPLE,
 	};
@@ -492,42 +493,12 @@
 	return g_hash_table_size(r->peers) && is_home_of_none(r);
 }
 
-/* A planned stop begins. */
-void relay_stop(struct relay *r, uint64_t now_us)
-{
-	if (r->stopping)
-		return;
-	r->stopping = true;
-	r->stop_us = now_us;
-}
-
-/* The process ends now: logs the sessions that this cuts off. */
-void relay_end(struct relay *r, uint64_t now_us)
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, r->sessions);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct rsession *s = value;
-
-		if (rrun_is_active(s) || s->state != 'I')
-			rlog_session(s, "cut", "the proxy stopped", now_us);
-	}
-}
-
 /* Updates the gauges before metrics are read. */
 void relay_set_gauges(struct relay *r, uint64_t now_us)
 {
 	rmetrics_set_gauges(r, now_us);
 }
 
-/* Whether no session is left. */
-bool relay_is_idle(const struct relay *r)
-{
-	return !g_hash_table_size(r->sessions);
-}
-
 /* Appends the state as one JSON object. */
 void relay_write_status(struct relay *r, GString *out, uint64_t now_us)
 {
--- a/packages/relay/src/relay_internal.h
+++ b/packages/relay/src/relay_internal.h
@@ -14,7 +14,8 @@
  * homes that sessions go through, raccount_ client accounts, rlimit_ their
  * limits, rgrantor_ the proxies that grant tokens of these, routlier_ servers
  * that fail in part, inflight_ limits of what is in flight at a server, rlog_
- * log lines, rmetrics_ metrics, rstatus_ what /status says.
+ * log lines, rmetrics_ metrics, rstatus_ what /status says, rstop_ planned
+ * stops.
  */
 
 #include <celeryquay/base/log_event.h>
@@ -476,6 +477,8 @@
 	uint64_t isolated_since_us;
 	struct retry_budget retries;
 	uint64_t stop_us; /* start of a planned stop, if `stopping` */
+	/* Since when all that comes is refused, 0: it isn't; see stop.c */
+	uint64_t finishing_since_us;
 	bool stopping;
 
 	/*
@@ -516,6 +519,10 @@
 /* relay.c */
 struct relay_guards *relay_guards_of(struct relay *r);
 
+/* stop.c */
+uint64_t rstop_transactions_end_us(const struct relay *r);
+uint64_t rstop_rest_ends_us(const struct relay *r);
+
 /* registry.c */
 struct rservice *registry_service(struct relay *r, const char *name);
 struct rservice *registry_service_of_database(const struct relay *r,
@@ -590,6 +597,7 @@
 void rsession_destroy(gpointer session);
 void rsession_tick(struct rsession *s, uint64_t now_us);
 void rsession_end_if_stopping(struct rsession *s, uint64_t now_us);
+void rsession_finish(struct rsession *s, uint64_t now_us);
 void rsession_end_if_isolated(struct rsession *s, uint64_t now_us);
 void rsession_end_if_cut_off(struct rsession *s, uint64_t now_us);
 void rsession_answer(struct rsession *s, enum relay_code code,
@@ -639,6 +647,7 @@
 		    const struct relay_answer *answer, uint64_t now_us);
 void rrun_on_lost(struct rsession *s, struct rserver *server, bool timed_out,
 		  uint64_t now_us);
+void rrun_on_stop(struct rsession *s, uint64_t now_us);
 void rrun_tick(struct rsession *s, uint64_t now_us);
 bool rrun_is_active(const struct rsession *s);
 bool rrun_has_time_for_peer(const struct rsession *s, uint64_t now_us);
--- a/packages/relay/src/run.c
+++ b/packages/relay/src/run.c
@@ -524,6 +524,46 @@
 		on_setup_refusal(c, from, now_us);
 }
 
+/* What is certain of a statement whose answer won't come. */
+static enum relay_code code_without_answer(const struct rsession *s,
+					   bool timed_out)
+{
+	const struct rrun *run = &s->run;
+
+	if (can_retry(s) && !timed_out)
+		return RELAY_BUSY;
+	if (!run->sent ||
+	    (in_transaction(s) && (run->verb != RELAY_COMMIT || !s->wrote)))
+		return RELAY_ABORTED;
+	if (run->writes || run->verb == RELAY_COMMIT)
+		return RELAY_IN_DOUBT;
+	return RELAY_TIMED_OUT;
+}
+
+static const char *why_without_answer(enum relay_code code)
+{
+	if (code == RELAY_IN_DOUBT)
+		return "the server's answer is lost";
+	if (code == RELAY_TIMED_OUT)
+		return "the server did not answer";
+	return "the server was lost";
+}
+
+/*
+ * Ends the run because the process does. Its connection ends with the process,
+ * so a transaction is rolled back, and a read keeps nothing.
+ */
+void rrun_on_stop(struct rsession *s, uint64_t now_us)
+{
+	enum relay_code code = RELAY_IN_DOUBT;
+
+	if (s->run.state == RRUN_AWAITING_TOKEN)
+		rlimit_dequeue(s);
+	if (s->run.state != RRUN_CONFIRMING)
+		code = code_without_answer(s, false);
+	rrun_fail(s, code, "the proxy stops", now_us);
+}
+
 /*
  * Handles the loss of the session's connection, and its open transaction with
  * it, or an answer that took too long.
@@ -532,6 +572,7 @@
 		  uint64_t now_us)
 {
 	struct rrun *run = &s->run;
+	enum relay_code code;
 
 	if (run->state == RRUN_NONE) {
 		rlog_session(s, "transaction-ended",
@@ -542,19 +583,12 @@
 		s->wrote = false;
 		return;
 	}
-	if (can_retry(s) && now_us < run->deadline_us)
+	if (can_retry(s) && now_us < run->deadline_us) {
 		enqueue_retry(s, server, RELAY_BUSY, now_us);
-	else if (can_retry(s) && !timed_out)
-		rrun_fail(s, RELAY_BUSY, "the server was lost", now_us);
-	else if (!run->sent || (in_transaction(s) &&
-				(run->verb != RELAY_COMMIT || !s->wrote)))
-		rrun_fail(s, RELAY_ABORTED, "the server was lost", now_us);
-	else if (run->writes || run->verb == RELAY_COMMIT)
-		rrun_fail(s, RELAY_IN_DOUBT, "the server's answer is lost",
-			  now_us);
-	else
-		rrun_fail(s, RELAY_TIMED_OUT, "the server did not answer",
-			  now_us);
+		return;
+	}
+	code = code_without_answer(s, timed_out);
+	rrun_fail(s, code, why_without_answer(code), now_us);
 }
 
 /*
--- a/packages/relay/src/session.c
+++ b/packages/relay/src/session.c
@@ -363,6 +363,21 @@
 	return false;
 }
 
+/* Whether the process is about to end, too late for a server to run it. */
+static bool is_refused_by_stop(const struct rsession *s, enum relay_verb verb)
+{
+	return s->relay->finishing_since_us && s->state == 'I' &&
+	       needs_server(verb);
+}
+
+/* The session is then over, unless its caller has sent more. */
+static void refuse_in_stop(struct rsession *s)
+{
+	rsession_answer(s, RELAY_BUSY, "the proxy stops");
+	s->hung_up = true;
+	s->relay->ops->hang_up(s->relay->ctx, s->id);
+}
+
 /* Handles a caller's statement; it is answered now or later. */
 void relay_session_statement(struct relay *r, uint64_t session,
 			     const struct relay_statement *statement,
@@ -380,6 +395,8 @@
 				"not a statement that a caller may send");
 	else if (!check_key(s, statement, now_us))
 		return;
+	else if (is_refused_by_stop(s, statement->verb))
+		refuse_in_stop(s);
 	else if (s->peer && statement->verb == RELAY_RESET)
 		run_reset(s);
 	else if (s->peer && statement->verb == RELAY_TAKE)
@@ -425,8 +442,7 @@
 
 	if (s->state != 'T' || rrun_is_active(s) || !s->conn)
 		return false;
-	if (s->relay->stopping &&
-	    now_us > s->relay->stop_us + s->relay->settings.drain_us)
+	if (s->relay->stopping && now_us > rstop_transactions_end_us(s->relay))
 		return true;
 	return limit_us && now_us > s->used_us + limit_us;
 }
@@ -442,7 +458,27 @@
 	struct relay *r = s->relay;
 
 	if (!r->stopping || s->hung_up || rrun_is_active(s) ||
-	    s->state != 'I' || now_us < r->stop_us + r->settings.drain_us / 2)
+	    s->state != 'I' || now_us < rstop_rest_ends_us(r))
+		return;
+	s->hung_up = true;
+	r->ops->hang_up(r->ctx, s->id);
+}
+
+/*
+ * Ends a session shortly before the process does. A statement in flight gets an
+ * error, an open transaction is rolled back.
+ */
+void rsession_finish(struct rsession *s, uint64_t now_us)
+{
+	struct relay *r = s->relay;
+
+	if (rrun_is_active(s))
+		rrun_on_stop(s, now_us);
+	if (s->state == 'T') {
+		rsession_abort_transaction(s, now_us);
+		s->state = 'E';
+	}
+	if (s->hung_up)
 		return;
 	s->hung_up = true;
 	r->ops->hang_up(r->ctx, s->id);
@@ -495,6 +531,6 @@
 		s->state = 'E';
 	}
 	if (now_us > s->used_us + MIN_IDLE_US ||
-	    now_us > r->stop_us + r->settings.drain_us)
+	    now_us > rstop_transactions_end_us(r))
 		rsession_end_if_stopping(s, now_us);
 }
--- a/packages/relay/tests/support_group.h
+++ b/packages/relay/tests/support_group.h
@@ -146,6 +146,8 @@
 	unsigned max_connections;
 	/* Replicas that must have a commit before it is acknowledged. */
 	unsigned sync_replicas;
+	uint64_t statement_timeout_us;
+	uint64_t stop_grace_us; /* 0: the relays' default */
 	unsigned n_opened; /* connections that servers accepted */
 	unsigned n_full; /* connections that servers refused at their limit */
 	uint64_t open_work_us; /* time that opening one occupies a slot */
@@ -219,6 +221,8 @@
 	unsigned n_accounts; /* 0: callers have no accounts */
 	bool limits; /* accounts have rate limits */
 	unsigned sync_replicas; /* of all services */
+	uint64_t statement_timeout_us; /* 0: as usual */
+	uint64_t stop_grace_us; /* of relays; 0: as usual */
 	struct splace_capacity capacities[MAX_RELAYS];
 	bool old[MAX_RELAYS]; /* relays of an older version */
 };
--- a/packages/relay/tests/support_history.c
+++ b/packages/relay/tests/support_history.c
@@ -205,6 +205,7 @@
 				      .name = str_from_c(h->name),
 				      .text = str_from_c(h->text) };
 
+	h->arrived = true;
 	if (s->open)
 		relay_session_statement(f->relays[s->relay].relay, s->number,
 					&st, f->now_us);
@@ -357,14 +358,53 @@
 		fake_at(f, -1, MS, s->next, s, NULL);
 }
 
+/* A session whose end its relay has yet to learn. */
+struct ended {
+	unsigned relay;
+	unsigned life; /* of the relay's process */
+	uint64_t session;
+};
+
+static void ended_event(struct fake *f, void *data)
+{
+	const struct ended *e = data;
+
+	if (e->life == f->relays[e->relay].life)
+		relay_session_closed(f->relays[e->relay].relay, e->session,
+				     f->now_us);
+}
+
 /* A relay ended a caller's session. */
 void hist_hang_up(void *relay, uint64_t session)
 {
 	struct fake *f = ((struct fake_relay *)relay)->fake;
 	struct hist_session *s =
 		g_ptr_array_index(f->hist->sessions, session - 1);
+	struct ended ended;
 
+	/* What lies unread in the session's socket is read first. */
+	if (s->now && !s->now->arrived)
+		return;
 	s->open = false;
+	ended.relay = s->relay;
+	ended.life = f->relays[s->relay].life;
+	ended.session = session;
+	fake_at(f, (int)s->relay, MS, ended_event,
+		g_memdup2(&ended, sizeof(ended)), g_free);
+}
+
+/* Statements of a relay's callers that have no answer. */
+unsigned hist_unanswered(const struct fake *f, unsigned relay)
+{
+	unsigned i, n = 0;
+
+	for (i = 0; i < f->hist->sessions->len; i++) {
+		const struct hist_session *s =
+			g_ptr_array_index(f->hist->sessions, i);
+
+		n += s->relay == relay && s->now;
+	}
+	return n;
 }
 
 /* A relay's process ended, and with it all its sessions. */
--- a/packages/relay/tests/support_history.h
+++ b/packages/relay/tests/support_history.h
@@ -22,6 +22,7 @@
 	uint64_t sent_us; /* when its caller sent it */
 	char *name;
 	char *text;
+	bool arrived; /* at the relay */
 	bool answered;
 	enum relay_code code;
 };
@@ -65,6 +66,8 @@
 bool hist_accepts_writes(struct fake *f, uint64_t limit_us);
 /* Returns the id of the newest statement; the caller frees it. */
 char *hist_last_id(const struct fake *f);
+/* Number of statements of a relay's callers that have no answer. */
+unsigned hist_unanswered(const struct fake *f, unsigned relay);
 /* Number of operations that servers ran. */
 unsigned hist_operation_count(const struct fake *f);
 /* Number of commits that were acknowledged to callers. */
--- a/packages/relay/tests/support_platform.c
+++ b/packages/relay/tests/support_platform.c
@@ -765,7 +765,7 @@
 				.database = db,
 				.service = name,
 				.kind = kind,
-				.timeout_us = FAKE_STATEMENT_TIMEOUT_US,
+				.timeout_us = f->statement_timeout_us,
 				.target_latency_us = FAKE_LATENCY_TARGET_US,
 				.max_age_us = FAKE_MAX_AGE_US,
 				.priority = f->priorities[kind]
@@ -802,6 +802,8 @@
 	settings.limits = f->limits;
 	settings.home_pooling = r->old ? SPLACE_OFF : f->home_pooling;
 	settings.capacity = r->capacity;
+	if (f->stop_grace_us)
+		settings.stop_grace_us = f->stop_grace_us;
 	r->relay = relay_create(&settings, &ops, r, r->counters, f->rng,
 				f->now_us);
 	relay_on_catalog(r->relay, catalog, f->now_us);
@@ -999,11 +1001,15 @@
 	f->n_accounts = o->n_accounts;
 	f->limits = o->limits;
 	f->sync_replicas = o->sync_replicas;
+	f->stop_grace_us = o->stop_grace_us;
 	f->home_pooling = o->home_pooling;
 	memcpy(f->priorities, o->priorities, sizeof(f->priorities));
 	f->max_connections = o->n_relays > 4 ? 10 : 20;
 	if (o->max_connections)
 		f->max_connections = o->max_connections;
+	f->statement_timeout_us = o->statement_timeout_us ?
+					  o->statement_timeout_us :
+					  FAKE_STATEMENT_TIMEOUT_US;
 	f->promote_duration_us = 1000 * MS;
 	f->events = fake_events_create();
 	f->conns = fake_conns_create();
--- a/packages/transport/include/celeryquay/transport/session.h
+++ b/packages/transport/include/celeryquay/transport/session.h
@@ -70,6 +70,8 @@
 void session_upstream_destroy(struct session_upstream *u);
 
 void session_front_stop_accepting(struct session_front *f);
+/* Whether answers wait to be written. */
+bool session_front_has_unsent(const struct session_front *f);
 uint16_t session_front_port(const struct session_front *f);
 
 /* The relay's ops; see relay.h. */
--- a/packages/transport/src/session_front.c
+++ b/packages/transport/src/session_front.c
@@ -435,9 +435,19 @@
 		session_link_defer(&caller->link);
 }
 
+static bool has_whole_message(const struct caller *caller)
+{
+	return has_pending(caller) &&
+	       codec_of(caller)->length(str_from_gstring(caller->pending), 0);
+}
+
 /*
  * Closes the session's connection after the pending answers have been sent.
  *
+ * A statement that the caller sent ahead, and that was read, is answered first.
+ * If only its beginning was read, the rest is on its way, and the session ends
+ * after that; the relay decides again.
+ *
  * If the proxy is slow, a caller's next statement may lie unread in the socket
  * meanwhile. Read after the hang-up it would be discarded: a request without an
  * answer. So the sockets are read once more first, and a statement found there
@@ -450,7 +460,8 @@
 	if (!caller || caller->in_flight || caller->hang_up_iterations)
 		return;
 	if (has_pending(caller)) {
-		hang_up(caller);
+		if (has_whole_message(caller))
+			session_link_defer(&caller->link);
 		return;
 	}
 	caller->hang_up_iterations = HANG_UP_ITERATIONS;
@@ -487,6 +498,22 @@
 		close_listener(f);
 }
 
+bool session_front_has_unsent(const struct session_front *f)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, f->group.links);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct session_link *l = value;
+
+		if (uv_stream_get_write_queue_size(
+			    (const uv_stream_t *)&l->tcp))
+			return true;
+	}
+	return false;
+}
+
 /* The port that is bound; 0: none. */
 uint16_t session_front_port(const struct session_front *f)
 {
--- a/packages/transport/tests/test_session.c
+++ b/packages/transport/tests/test_session.c
@@ -11,6 +11,7 @@
 #define SOCKET_BYTES 16384
 #define STATEMENT_BYTES 16000
 #define STATEMENTS_AHEAD 64
+#define HANG_UP_ITERATIONS 8 /* more than a hang-up takes */
 #define CONN 7
 
 /* A front and an upstream on one loop, and the events that their relay got. */
@@ -355,20 +356,37 @@
 }
 END_TEST
 
+/* Runs the loop until the session is hung up and its answer is being sent. */
+static void hang_up_while_sending(void)
+{
+	unsigned i;
+
+	session_front_hang_up(&rig, rig.session);
+	for (i = 0; i < HANG_UP_ITERATIONS; i++)
+		uv_run(&rig.loop, UV_RUN_NOWAIT);
+	ck_assert(session_front_has_unsent(rig.ends.front));
+}
+
 /*
- * A caller has sent statements ahead when its session is hung up. Fails if its
+ * A caller sends more statements after its session was hung up. Fails if its
  * last answer is cut off: closing a socket with unread bytes makes the kernel
  * reset the connection, which discards data not yet delivered to the caller.
  */
 START_TEST(test_a_hang_up_with_unread_bytes_cuts_no_answer)
 {
-	char *rows;
+	char *rows, *text = g_strnfill(STATEMENT_BYTES, 's');
+	struct relay_statement statement = { .text = str_from_c(text) };
+	unsigned i;
 
 	open_conn();
-	send_statements(STATEMENTS_AHEAD);
+	uv_walk(&rig.loop, shrink_buffers, NULL);
+	send_statements(1);
 	rows = answer_long();
-	session_front_hang_up(&rig, rig.session);
+	hang_up_while_sending();
+	for (i = 0; i < STATEMENTS_AHEAD; i++)
+		session_upstream_send(&rig, CONN, &statement);
 	check_answer(rows);
+	g_free(text);
 	loop_until(&rig.loop, has_ended, NULL);
 	ck_assert_uint_eq(rig.statements, 1);
 	ck_assert_uint_eq(rig.closed, 1);
@@ -376,6 +394,33 @@
 }
 END_TEST
 
+static bool is_asked_or_lost(void *ctx)
+{
+	return rig.statements > *(unsigned *)ctx || rig.lost;
+}
+
+/*
+ * Statements were read ahead when the session is hung up. Fails if one of them
+ * gets no answer.
+ */
+START_TEST(test_statements_sent_ahead_are_answered_before_a_hang_up)
+{
+	struct relay_answer answer = { .rows = STR("x"), .state = 'I' };
+	unsigned n;
+
+	open_conn();
+	send_statements(STATEMENTS_AHEAD);
+	for (n = 1; n <= STATEMENTS_AHEAD; n++) {
+		ck_assert_uint_eq(rig.statements, n);
+		session_front_answer(&rig, rig.session, &answer);
+		session_front_hang_up(&rig, rig.session);
+		loop_until(&rig.loop, is_asked_or_lost, &n);
+	}
+	loop_until(&rig.loop, has_ended, NULL);
+	ck_assert_uint_eq(rig.statements, STATEMENTS_AHEAD);
+}
+END_TEST
+
 static bool has_second_statement(void *ctx)
 {
 	(void)ctx;
@@ -474,6 +519,8 @@
 	tcase_add_checked_fixture(t, setup, teardown);
 	tcase_add_test(t, test_a_long_answer_arrives_whole);
 	tcase_add_test(t, test_a_hang_up_with_unread_bytes_cuts_no_answer);
+	tcase_add_test(
+		t, test_statements_sent_ahead_are_answered_before_a_hang_up);
 	tcase_add_test(t, test_a_statement_that_is_there_is_answered_first);
 	tcase_add_test(t, a_statement_that_comes_before_a_hang_up_is_answered);
 	tcase_add_test(t, a_caller_that_waits_is_accepted_before_the_end);
--- a/tests/soak/fleet.c
+++ b/tests/soak/fleet.c
@@ -15,6 +15,7 @@
 #define MISSES_MOST 2
 #define RESTART_US (300 * MS)
 #define STOP_WAIT_US (10 * SEC)
+#define GRACE_S 6 /* what proxies are told of a planned stop */
 #define CALLERS_PORT 8784
 #define PEERS_PORT 7440
 #define FEED_PORT 7455
@@ -52,10 +53,11 @@
 		"\"callers\":\"%s:%u\",\"peers\":\"%s:%u\","
 		"\"feed\":\"%s:%u\",\"mbps\":%u,\"readiness\":\"%s:%u\","
 		"\"metrics\":\"%s:%u\",\"store\":\"127.0.0.1:%u\","
-		"\"control\":\"127.0.0.1:%u\"}}",
+		"\"control\":\"127.0.0.1:%u\","
+		"\"bounds\":{\"graceS\":%u}}}",
 		p->address, CALLERS_PORT, p->address, PEERS_PORT, p->address,
 		FEED_PORT, size->mbps, p->address, FLEET_READY_PORT, p->address,
-		METRICS_PORT, p->store, p->store);
+		METRICS_PORT, p->store, p->store, GRACE_S);
 	return g_string_free(out, FALSE);
 }
 
