relay: headers of their own for the target, durability and the stop

The three modules had their functions declared in relay_internal.h, which every file of the relay includes.

--- a/packages/relay/src/durable.c
+++ b/packages/relay/src/durable.c
@@ -15,7 +15,8 @@
  * term and the target follows in the newest one.
  */
 #define LOG_MODULE "durable"
-#include "relay_internal.h"
+#include "durable.h"
+#include "target.h"
 
 #include <celeryquay/base/log.h>
 
--- a/packages/relay/src/failover.c
+++ b/packages/relay/src/failover.c
@@ -15,7 +15,9 @@
  *   reports that it is primary.
  */
 #define LOG_MODULE "change"
+#include "durable.h"
 #include "homes.h"
+#include "target.h"
 
 #include <celeryquay/base/log.h>
 
--- a/packages/relay/src/registry.c
+++ b/packages/relay/src/registry.c
@@ -3,6 +3,7 @@
  * them.
  */
 #define LOG_MODULE "listed"
+#include "durable.h"
 #include "homes.h"
 #include "wait.h"
 
--- a/packages/relay/src/relay_internal.h
+++ b/packages/relay/src/relay_internal.h
@@ -519,10 +519,6 @@
 /* relay.c */
 struct relay_guards *relay_guards_of(struct relay *r);
 
-/* stop.c */
-uint64_t rstop_transactions_end_us(const struct relay *r);
-uint64_t rstop_rest_ends_us(const struct relay *r);
-
 /* registry.c */
 struct rservice *registry_service(struct relay *r, const char *name);
 struct rservice *registry_service_of_database(const struct relay *r,
@@ -736,28 +732,6 @@
 bool rfence_pauses_reported_again(const struct rservice *v);
 bool rfence_knows_all_servers(const struct rservice *v);
 
-/* target.c */
-bool rtarget_is_replica(const struct rserver *s);
-bool rtarget_exists(const struct rservice *v);
-bool rtarget_may_be_leaving(const struct rservice *v);
-struct rserver *rtarget_best(const struct rservice *v);
-struct rserver *rtarget_successor(const struct rservice *v);
-bool rtarget_is_successor_near(const struct rservice *v, uint64_t now_us);
-void rtarget_refresh(const struct rservice *v, uint64_t now_us);
-void rtarget_log_candidates(const struct rservice *v,
-			    const struct rserver *chosen);
-
-/* durable.c */
-GPtrArray *rdurable_missing_new(void);
-void rdurable_on_status(struct rserver *s, uint64_t now_us);
-void rdurable_on_removed(const struct rserver *s);
-void rdurable_on_listed(struct rservice *v, const char *id);
-void rdurable_expire_missing(struct rservice *v, uint64_t now_us);
-bool rdurable_may_lack_commits(const struct rservice *v,
-			       const struct rserver *target, const char **by,
-			       uint64_t now_us);
-bool rdurable_is_withheld(struct rservice *v, uint64_t now_us);
-
 /* failover.c */
 void rfailover_tick(struct rservice *v, uint64_t now_us);
 void rfailover_on_claimed(struct relay *r, enum relay_claim outcome,
--- a/packages/relay/src/server.c
+++ b/packages/relay/src/server.c
@@ -1,6 +1,6 @@
 /* Servers: the state known of each, and the probes that keep it up to date. */
 #define LOG_MODULE "server"
-#include "relay_internal.h"
+#include "durable.h"
 #include "scheduler.h"
 
 #include <celeryquay/sched/connections.h>
--- a/packages/relay/src/session.c
+++ b/packages/relay/src/session.c
@@ -4,6 +4,7 @@
  */
 #define LOG_MODULE "session"
 #include "homes.h"
+#include "stop.h"
 #include "wait.h"
 
 #include <celeryquay/base/log.h>
--- a/packages/relay/src/stop.c
+++ b/packages/relay/src/stop.c
@@ -9,7 +9,7 @@
  * given time to reach its caller.
  */
 #define LOG_MODULE "stop"
-#include "relay_internal.h"
+#include "stop.h"
 
 #include <celeryquay/base/log.h>
 
--- a/packages/relay/src/target.c
+++ b/packages/relay/src/target.c
@@ -8,7 +8,7 @@
  * Elsewhere only a server that stays is.
  */
 #define LOG_MODULE "target"
-#include "relay_internal.h"
+#include "target.h"
 
 #include <celeryquay/base/log.h>
 
--- a/packages/relay/src/trust.c
+++ b/packages/relay/src/trust.c
@@ -9,7 +9,7 @@
  * all servers that may be promoted agree, since the one being promoted knows of
  * the change.
  */
-#include "relay_internal.h"
+#include "target.h"
 
 /*
  * How long a server is in doubt: by then the change that it may not know of has
