relay: among equal targets the one listed first is promoted, as before

The moment from which a server leaves is compared for two that leave; for others it is when they were listed, so of two replicas with the same log the one that was listed last was promoted, which may be cold. Found by reading. relay test_sync_replicas, test_change and test_histories pass.

--- a/packages/relay/src/target.c
+++ b/packages/relay/src/target.c
@@ -69,7 +69,8 @@
 		return a->listed ? 1 : -1;
 	if (a == outgoing(a->service) || b == outgoing(a->service))
 		return b == outgoing(a->service) ? 1 : -1;
-	if (a->leaving_at_us == b->leaving_at_us)
+	if (!a->info.leaving || !b->info.leaving ||
+	    a->leaving_at_us == b->leaving_at_us)
 		return 0;
 	return a->leaving_at_us < b->leaving_at_us ? -1 : 1;
 }
