--- a/review/5/scene.c
+++ b/review/5/scene.c
@@ -1,98 +1,129 @@
 /*
- * A proxy is cut off from the platform as its promotion call is on the way. It
- * gives the call up by closing the connection, so the bytes that were held up
- * arrive when the cut heals: a stale token after another proxy's newer one.
+ * syncReplicas is 1. One replica loses the store, but neither the primary nor
+ * the proxies, and its entry expires. A proxy that starts during a rolling
+ * restart doesn't know of it. The primary crashes, and that proxy promotes the
+ * other replica, which lacks what only the first one had received.
  */
 #include "world.h"
 
+#include <pthread.h>
+#include <signal.h>
 #include <string.h>
 
 #define PROXIES 3
-#define CUT_S 5.0 /* of the proxy from the platform */
+#define ACKED_MAX 50000
+#define CUT_S 5.0 /* of the replica from the store */
 #define CRASH_S 7.0 /* of the primary */
-#define WATCH_S 16.0 /* from the crash to the end */
+#define GAP_S 2.0 /* between two stops of the rolling restart */
+/* From the cut until the first stop, and until the crash. */
+#define STOP_AFTER_S 0.45
+#define CRASH_AFTER_S 4.75
 
-static void write_some(void)
+static char acked[ACKED_MAX][24];
+static unsigned n_acked;
+static volatile bool ending;
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+
+static void note_acked(const char *id)
 {
-	struct caller c;
+	pthread_mutex_lock(&lock);
+	if (n_acked < ACKED_MAX)
+		strcpy(acked[n_acked++], id);
+	pthread_mutex_unlock(&lock);
+}
+
+/* Writes through one proxy, a statement after the other. */
+static void *write_all_the_time(void *data)
+{
+	unsigned p = (unsigned)(uintptr_t)data;
+	struct caller c = { .fd = -1 };
 	char id[24];
-	unsigned i;
 
-	if (!caller_open(&c, 0, WORLD_DB_PRIMARY))
-		return;
-	for (i = 0; i < 20; i++) {
-		if (!caller_ask(&c, new_id(id), "WRITE 1a4 x", 2500))
-			break;
-		record("proxy 0 answers %s: %s %s", id, c.code, c.text);
-		world_sleep_ms(50);
+	while (!ending) {
+		if (c.fd < 0 && !caller_open(&c, p, WORLD_DB_PRIMARY)) {
+			world_sleep_ms(50);
+			continue;
+		}
+		new_id(id);
+		if (!caller_ask(&c, id, "WRITE 1a4 x", 2500))
+			caller_close(&c);
+		else if (!strcmp(c.code, "COMPLETE"))
+			note_acked(id);
+		record("proxy %u answers %s: %s %s", p, id, c.code, c.text);
+		world_sleep_ms(strcmp(c.code, "COMPLETE") ? 100 : 10);
 	}
-	caller_close(&c);
+	return NULL;
 }
 
-/* The primary crashes, and whoever promotes first is cut off as it does. */
-static void play(void)
+/* The acknowledged writes that the promoted server's log lacks. */
+static unsigned count_lost(int leader)
 {
-	double crash_s = world_now_s(), cut_s = 0;
-	bool is_back = false;
+	unsigned i, n = 0;
 
-	if (world_trouble())
-		platform_cut_next_caller();
-	server_crash(0);
-	while (world_now_s() < crash_s + WATCH_S) {
-		int p = platform_cut_proxy();
-
-		if (p >= 0 && !cut_s)
-			cut_s = world_now_s();
-		if (p >= 0 && world_now_s() >= cut_s + CUT_S)
-			platform_heal((unsigned)p);
-		if (!is_back && world_now_s() >= crash_s + CRASH_S) {
-			is_back = true;
-			server_restart(0);
-		}
-		world_sleep_ms(5);
+	for (i = 0; i < n_acked; i++) {
+		if (server_has((unsigned)leader, acked[i]))
+			continue;
+		record("acknowledged and not in the log of %s: %s",
+		       server_id((unsigned)leader), acked[i]);
+		n++;
 	}
+	return n;
 }
 
-/* Whether a call carried a lower token than the platform had seen. */
-static bool is_any_stale(void)
+static void play(void)
 {
-	struct world_promotion newest = { 0 };
-	unsigned i, n = promotions_count();
-	bool found = false;
-
-	for (i = 0; i < n; i++) {
-		struct world_promotion r = promotion_at(i);
+	double beat_s = server_beat_s(2), start_s;
+	unsigned p;
 
-		if (r.token < newest.token) {
-			record("%s sent token %lu, after %s had sent %lu",
-			       r.holder, (unsigned long)r.token, newest.holder,
-			       (unsigned long)newest.token);
-			found = true;
-		} else {
-			newest = r;
-		}
+	while (server_beat_s(2) == beat_s)
+		world_sleep_ms(1);
+	start_s = world_now_s();
+	if (world_trouble())
+		server_cut_from_store(2, true);
+	for (p = 0; p < PROXIES; p++) {
+		world_sleep_until(start_s + STOP_AFTER_S + p * GAP_S);
+		proxy_signal(p, SIGTERM);
 	}
-	return found;
+	world_sleep_until(start_s + CRASH_AFTER_S);
+	server_crash(0);
+	world_sleep_until(start_s + CUT_S);
+	if (world_trouble())
+		server_cut_from_store(2, false);
+	world_sleep_until(start_s + CRASH_AFTER_S + CRASH_S);
+	server_restart(0);
+	world_sleep_until(start_s + CRASH_AFTER_S + CRASH_S + 5);
 }
 
 int main(void)
 {
 	static const struct world_options options = {
 		.n_proxies = PROXIES,
+		.sync_replicas = 1,
 		.promote_ms = 1000,
-		.receive_ms = { 10, 10, 10 },
+		.receive_ms = { 10, 50, 10 },
 	};
-	unsigned p;
+	pthread_t writers[PROXIES];
+	unsigned p, n_lost;
+	int leader;
 
 	world_start(&options);
 	for (p = 0; p < PROXIES; p++)
 		proxy_start(p);
 	if (!proxies_wait_ready(PROXIES, 20000))
 		world_end(2);
-	world_sleep_ms(6000);
-	write_some();
+	for (p = 0; p < PROXIES; p++)
+		pthread_create(&writers[p], NULL, write_all_the_time,
+			       (void *)(uintptr_t)p);
+	world_sleep_ms(5000);
 	play();
-	if (!promotions_count())
+	ending = true;
+	for (p = 0; p < PROXIES; p++)
+		pthread_join(writers[p], NULL);
+	leader = server_leader();
+	if (leader <= 0 || !promotions_count())
 		world_end(2);
-	world_end(is_any_stale());
+	n_lost = count_lost(leader);
+	record("%u writes acknowledged, %u of them not in the log of %s",
+	       n_acked, n_lost, server_id((unsigned)leader));
+	world_end(n_lost > 0);
 }
--- a/review/standin-2/world.c
+++ b/review/standin-2/world.c
@@ -33,6 +33,7 @@
 #define APPLY_MS 10 /* from the receipt of a commit until it is applied */
 #define SYNC_WAIT_MS 5000 /* for a replica to receive a commit */
 #define CASE_MAX_S 115 /* a case may run for 120 s */
+#define RESEND_S 0.2018 /* 0.2 s and 1.8 ms between two zones and back */
 #define RESTART_MS 300 /* a process that ended starts again after that */
 #define COMMITS_MAX 200000
 #define ITEMS_MAX 4096
@@ -408,6 +409,7 @@
 
 static struct path paths[WORLD_PROXIES_MAX];
 static bool cut_next_caller;
+static char held_target[32];
 
 bool platform_is_cut(unsigned p)
 {
@@ -455,9 +457,6 @@
 static struct lease leases[ITEMS_MAX];
 static unsigned n_leases;
 static uint64_t revision = 100;
-static bool turned_away[WORLD_PROXIES_MAX];
-static bool store_is_away;
-static double store_back_s;
 
 static struct item *find_item(const char *key)
 {
@@ -534,25 +533,6 @@
 	pthread_mutex_unlock(&lock);
 }
 
-void store_turn_away(unsigned p, bool away)
-{
-	pthread_mutex_lock(&lock);
-	turned_away[p] = away;
-	pthread_cond_broadcast(&changed);
-	pthread_mutex_unlock(&lock);
-	record("store %s proxy %u", away ? "turns away" : "serves", p);
-}
-
-void store_outage(bool away)
-{
-	pthread_mutex_lock(&lock);
-	store_is_away = away;
-	store_back_s = clock_s();
-	pthread_cond_broadcast(&changed);
-	pthread_mutex_unlock(&lock);
-	record("the store is %s", away ? "away" : "back");
-}
-
 static void put_item(struct text *t, const struct item *it)
 {
 	put(t, "{\"key\":\"%s\",\"value\":\"", it->key);
@@ -641,8 +621,8 @@
 	parameter(q, "after", after, sizeof(after));
 	parameter(q, "waitMs", wait, sizeof(wait));
 	until_s = clock_s() + atof(wait) / 1000;
-	while (clock_s() < until_s && !turned_away[p] && !store_is_away &&
-	       !paths[p].cut && !has_event(prefix, strtoull(after, NULL, 10))) {
+	while (clock_s() < until_s && !paths[p].cut &&
+	       !has_event(prefix, strtoull(after, NULL, 10))) {
 		struct timespec t;
 
 		clock_gettime(CLOCK_REALTIME, &t);
@@ -786,7 +766,7 @@
 	}
 	if (!strcmp(q->path, "/api/kv-watch")) {
 		get_watch(q, p, out);
-		return turned_away[p] ? 503 : 200;
+		return 200;
 	}
 	if (!strcmp(q->path, "/api/kv-txn"))
 		return post_txn(q, out);
@@ -829,8 +809,8 @@
 
 	while (read_request(&r, &q)) {
 		struct text out = { 0 };
-		int status = 503;
-		bool ok, away;
+		int status;
+		bool ok;
 
 		if (platform_is_cut(p)) {
 			/* The other end has given the call up by then. */
@@ -839,17 +819,8 @@
 			break;
 		}
 		pthread_mutex_lock(&lock);
-		if (!turned_away[p] && !store_is_away)
-			status = run_store(&q, p, &out);
-		away = store_is_away;
+		status = run_store(&q, p, &out);
 		pthread_mutex_unlock(&lock);
-		if (away) {
-			request_free(&q);
-			free(out.data);
-			close_reset(fd);
-			free(r.data);
-			return;
-		}
 		await_heal(p);
 		ok = answer(fd, status, out.data ? out.data : "", out.len);
 		free(out.data);
@@ -880,20 +851,17 @@
 	unsigned received, applied;
 	double reaches_s; /* an old primary reaches the new one since */
 	unsigned seq;
+	bool draining;
 	bool cut_from_store;
-	double report_after_s; /* the store's return */
-	bool cut_from_copies;
 	double beat_s; /* of its last report to the store that arrived */
 	double next_beat_s; /* of its last try */
 	unsigned n_conns;
 	int conns[512];
-	bool cut_from[WORLD_PROXIES_MAX];
 };
 
 struct server_conn {
 	struct server *server;
 	int fd;
-	int proxy; /* -1: not known yet */
 	char state;
 	bool read_only;
 	unsigned n_writes; /* in the transaction */
@@ -961,7 +929,7 @@
 	int n;
 
 	pthread_mutex_lock(&lock);
-	if (s->cut_from_store || store_is_away) {
+	if (s->cut_from_store) {
 		pthread_mutex_unlock(&lock);
 		return;
 	}
@@ -969,10 +937,11 @@
 	n = snprintf(value, sizeof(value),
 		     "{\"service\":\"svc%u\",\"address\":\"%s:%d\","
 		     "\"zone\":\"hall-a\",\"version\":\"v1\",\"capacity\":3,"
-		     "\"state\":\"ready\",\"coldRemainingMs\":0,"
+		     "\"state\":\"%s\",\"coldRemainingMs\":0,"
 		     "\"dbRole\":\"%s\",\"seq\":%u}",
 		     (unsigned)(s - servers) / WORLD_COPIES, s->host,
-		     PORT_SERVER, s->primary ? "primary" : "replica", ++s->seq);
+		     PORT_SERVER, s->draining ? "draining" : "ready",
+		     s->primary ? "primary" : "replica", ++s->seq);
 	s->listed = true;
 	pthread_mutex_unlock(&lock);
 	store_put(key, value, (size_t)n);
@@ -1009,6 +978,15 @@
 	record("server %s is back", s->id);
 }
 
+void server_drain(unsigned i)
+{
+	pthread_mutex_lock(&lock);
+	servers[i].draining = true;
+	pthread_mutex_unlock(&lock);
+	list_server(&servers[i]);
+	record("server %s drains", servers[i].id);
+}
+
 void server_cut_from_store(unsigned i, bool cut)
 {
 	pthread_mutex_lock(&lock);
@@ -1023,20 +1001,6 @@
 	return servers[i].beat_s - started_s;
 }
 
-void server_report_after(unsigned i, unsigned ms)
-{
-	servers[i].report_after_s = ms / 1e3;
-}
-
-void server_cut_from_copies(unsigned i, bool cut)
-{
-	pthread_mutex_lock(&lock);
-	servers[i].cut_from_copies = cut;
-	pthread_mutex_unlock(&lock);
-	record("server %s %s the others of its service", servers[i].id,
-	       cut ? "is cut off from" : "reaches");
-}
-
 bool commit_was_replaced(const char *id)
 {
 	bool found = false;
@@ -1049,15 +1013,6 @@
 	return found;
 }
 
-void server_cut_from_proxy(unsigned s, unsigned p, bool cut)
-{
-	pthread_mutex_lock(&lock);
-	servers[s].cut_from[p] = cut;
-	pthread_mutex_unlock(&lock);
-	record("server %s %s proxy %u", servers[s].id,
-	       cut ? "is cut off from" : "reaches", p);
-}
-
 /* What the leader has and the replica may receive by now. */
 static void replicate(struct server *s, const struct server *p, double now_s)
 {
@@ -1100,8 +1055,7 @@
 	for (i = 0; i < WORLD_SERVERS; i++) {
 		struct server *s = &servers[i], *p = leader(service_of(s));
 
-		if (!p || !s->up || s == p || s->held > p->term ||
-		    s->cut_from_copies || p->cut_from_copies)
+		if (!p || !s->up || s == p || s->held > p->term)
 			continue;
 		if (s->primary && !s->reaches_s)
 			s->reaches_s = now_s;
@@ -1128,15 +1082,12 @@
 /* Whether the server's next report is due and arrives. */
 static bool report_is_due(struct server *s, double now_s)
 {
-	bool arrives = !s->cut_from_store && !store_is_away &&
-		       now_s >= store_back_s + s->report_after_s;
-
 	if (!s->up || now_s < s->next_beat_s + HEARTBEAT_MS / 1e3)
 		return false;
 	/* One that is cut off tries again at the next interval. */
 	if (s->cut_from_store)
 		s->next_beat_s += HEARTBEAT_MS / 1e3;
-	return arrives;
+	return !s->cut_from_store;
 }
 
 /* A server reports to the store, or its entry expires. */
@@ -1347,7 +1298,6 @@
 			  struct text *out)
 {
 	char service[64] = "", who[64] = "", id[64] = "", own[16];
-	unsigned p;
 
 	snprintf(own, sizeof(own), "svc%u",
 		 (unsigned)(c->server - servers) / WORLD_COPIES);
@@ -1356,28 +1306,11 @@
 		put(out, "ERROR MOVED\r\n");
 		return false;
 	}
-	if (sscanf(who, "proxy-%u", &p) == 1)
-		c->proxy = (int)p;
 	c->state = 'I';
 	put_ready(out, c);
 	return true;
 }
 
-/* Nothing passes between the two while they are cut off from each other. */
-static void await_link(const struct server_conn *c)
-{
-	for (;;) {
-		bool cut;
-
-		pthread_mutex_lock(&lock);
-		cut = c->proxy >= 0 && c->server->cut_from[c->proxy];
-		pthread_mutex_unlock(&lock);
-		if (!cut)
-			return;
-		world_sleep_ms(5);
-	}
-}
-
 /* Waits until a replica has received the commit. */
 static bool await_replica(struct server_conn *c)
 {
@@ -1409,7 +1342,6 @@
 	const char *text;
 	bool ok = true, was_primary, work = false;
 
-	await_link(c);
 	pthread_mutex_lock(&lock);
 	was_primary = c->server->primary;
 	ok = c->server->up;
@@ -1434,7 +1366,6 @@
 	if (was_primary && !c->server->primary)
 		list_server(c->server);
 	ok = ok && await_replica(c);
-	await_link(c);
 	if (ok && out.data && !send_all(c->fd, out.data, out.len))
 		ok = false;
 	free(out.data);
@@ -1443,7 +1374,7 @@
 
 static void serve_server(int fd, void *ctx)
 {
-	struct server_conn c = { .server = ctx, .fd = fd, .proxy = -1 };
+	struct server_conn c = { .server = ctx, .fd = fd };
 	struct server *s = ctx;
 	struct reader r = { .fd = fd };
 	bool ok;
@@ -1582,14 +1513,14 @@
 
 /*
  * Waits until the bytes of a call arrive: at once, or when the path has healed
- * and the sender's system sends them again. TCP does that 0.2 s after the first
- * time, then after twice as long each time. False: the sender reset the
- * connection meanwhile, and the bytes are lost.
+ * and the sender's system sends them again. TCP does that a round trip and 0.2
+ * s after the first time, then after twice as long each time. False: the sender
+ * reset the connection meanwhile, and the bytes are lost.
  */
 static bool await_bytes(unsigned p, int fd)
 {
 	struct pollfd poll_fd = { .fd = fd };
-	double resent_s, step_s = 0.2;
+	double resent_s, step_s = RESEND_S;
 
 	if (!platform_is_cut(p))
 		return true;
@@ -1605,11 +1536,28 @@
 	return !(poll_fd.revents & POLLERR);
 }
 
+int platform_held_target(void)
+{
+	int i, found = -1;
+
+	pthread_mutex_lock(&lock);
+	for (i = 0; i < WORLD_SERVERS && *held_target; i++)
+		if (!strcmp(servers[i].id, held_target))
+			found = i;
+	pthread_mutex_unlock(&lock);
+	return found;
+}
+
 /* Cuts the path with the first call after it was asked to. */
-static void cut_if_asked(unsigned p)
+static void cut_if_asked(unsigned p, const struct request *q)
 {
+	char *id;
+
 	pthread_mutex_lock(&lock);
 	if (cut_next_caller) {
+		id = json_string(q->body, q->body + q->body_len, "id", NULL);
+		snprintf(held_target, sizeof(held_target), "%s", id ? id : "");
+		free(id);
 		cut_next_caller = false;
 		paths[p].cut = true;
 		paths[p].cut_s = clock_s();
@@ -1636,7 +1584,7 @@
 	while (read_request(&r, &q)) {
 		int status;
 
-		cut_if_asked(p);
+		cut_if_asked(p, &q);
 		if (!await_bytes(p, fd)) {
 			record("the call of proxy %u is lost: its sender reset "
 			       "the connection",
@@ -1742,11 +1690,6 @@
 	free(out.data);
 }
 
-pid_t proxy_pid(unsigned p)
-{
-	return proxies[p].pid;
-}
-
 /* target/bin/celeryquayd --settings FILE, as the deploy file has it. */
 static void spawn(struct proxy *p)
 {
@@ -1865,22 +1808,6 @@
 	return i == n;
 }
 
-unsigned long proxy_memory_kib(unsigned p)
-{
-	unsigned long kib = 0;
-	char path[64], line[128];
-	FILE *f;
-
-	snprintf(path, sizeof(path), "/proc/%d/status", (int)proxies[p].pid);
-	f = fopen(path, "r");
-	while (f && fgets(line, sizeof(line), f))
-		if (sscanf(line, "VmRSS: %lu", &kib) == 1)
-			break;
-	if (f)
-		fclose(f);
-	return kib;
-}
-
 /* Callers. */
 
 const char *new_id(char out[24])
--- a/review/standin-2/world.h
+++ b/review/standin-2/world.h
@@ -40,8 +40,10 @@
 	unsigned receive_ms[WORLD_COPIES];
 };
 
-/* Reads PROXY_BIN, TROUBLE and RECORD from the environment; exits with 2 on
- * failure. */
+/*
+ * Reads TROUBLE, RECORD (file) and CASE_DIR (temporary folder) from the
+ * environment; exits with 2 on failure.
+ */
 void world_start(const struct world_options *options);
 /* Ends all processes; exits with the code. */
 void world_end(int code) __attribute__((noreturn));
@@ -61,35 +63,21 @@
 /* Whether its readiness address answers 200. */
 bool proxy_is_ready(unsigned p);
 bool proxies_wait_ready(unsigned n, unsigned timeout_ms);
-/* Resident memory in KiB, 0: unknown. */
-unsigned long proxy_memory_kib(unsigned p);
-pid_t proxy_pid(unsigned p);
 
 /* The store. */
 uint64_t store_put(const char *key, const void *value, size_t len);
-/* The store turns one proxy away with 503, or serves it again. */
-void store_turn_away(unsigned p, bool away);
-/*
- * The store is away, and servers' entries expire meanwhile. When it is back,
- * each server reports again after the time that server_report_after() set.
- */
-void store_outage(bool away);
 
 /* Servers; 0 to 2 are the first service's, 0 is its primary at the start. */
 void server_crash(unsigned s);
 void server_restart(unsigned s);
-/* The server and one proxy don't reach each other, or do again. */
-void server_cut_from_proxy(unsigned s, unsigned p, bool cut);
 /* The server and the store don't reach each other, or do again. */
 void server_cut_from_store(unsigned s, bool cut);
 /* When it last reported to the store. */
 double server_beat_s(unsigned s);
 /* Whether its log has the commit that the statement of that id made. */
 bool server_has(unsigned s, const char *id);
-/* How long after the store's return the server reports; 0 at first. */
-void server_report_after(unsigned s, unsigned ms);
-/* The server and the others of its service don't reach each other, or do. */
-void server_cut_from_copies(unsigned s, bool cut);
+/* Planned: it reports that it is draining, and goes on running. */
+void server_drain(unsigned s);
 /* Whether the commit was made after another server had been promoted. */
 bool commit_was_replaced(const char *id);
 const char *server_id(unsigned s);
@@ -106,6 +94,8 @@
 /* The proxy that is cut off, -1: none. */
 int platform_cut_proxy(void);
 bool platform_is_cut(unsigned p);
+/* The server that the call which was held up names, -1: none was. */
+int platform_held_target(void);
 void platform_heal(unsigned p);
 unsigned promotions_count(void);
 struct world_promotion promotion_at(unsigned i);
