--- a/review/8/run.sh
+++ b/review/4/run.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/../.." || exit 2
 CASE_DIR=$(mktemp -d) || exit 2
 export CASE_DIR
-RECORD=review/8/record.txt target/review-2/scene-8
+RECORD=review/4/record.txt target/review-2/scene-4
 code=$?
 rm -rf "$CASE_DIR"
 [ $code -le 2 ] || code=2
