relay, platform: a promotion that may still take effect is the only one

One proxy's promotion call was held up for 2.9 s.

Cause: what a promotion may still do was known to its sender alone, and for a span (PROMOTION_MAX_US, 5 s) that another span (claim_hold_us, 3 s) undercut. The successor had nothing to go by.

Change: each claim states the promotions that it may be used for, and restates the earlier ones that may still take effect; none is requested that the claim does not state. Whoever claims next names the same server, also one that is leaving, or waits if that server can't lead. A promotion is settled by the platform's refusal or by its server's lead in a newer term, which one promotion causes. An old primary isn't relied on again, and no pause is ended, while another server's promotion may come. The answer of the platform tells a refusal from no answer at all.

The fake platform reports a promotion that takes effect after another server was named.

--- a/bench/bench_relay_fleet.c
+++ b/bench/bench_relay_fleet.c
@@ -77,6 +77,16 @@
 	(void)statement;
 }
 
+static void claim(void *ctx, uint64_t expected,
+		  const struct relay_promotion *promotions,
+		  unsigned n_promotions)
+{
+	(void)ctx;
+	(void)expected;
+	(void)promotions;
+	(void)n_promotions;
+}
+
 static void promote(void *ctx, const char *service, const char *server,
 		    uint64_t token)
 {
@@ -92,7 +102,7 @@
 	.open = open_conn,
 	.send = send_statement,
 	.close = close_id,
-	.claim = close_id,
+	.claim = claim,
 	.promote = promote,
 };
 
--- a/packages/relay/include/celeryquay/relay/relay.h
+++ b/packages/relay/include/celeryquay/relay/relay.h
@@ -49,6 +49,35 @@
 	struct splace_capacity capacity; /* of a proxy */
 };
 
+/*
+ * A promotion that a claim of the duty record may be used for. Whoever claims
+ * the duty later restates it as long as it may take effect.
+ */
+struct relay_promotion {
+	const char *service;
+	const char *server; /* id of the server to promote */
+	/* Revision of the record before the claim that stated it first. */
+	uint64_t claim;
+	uint64_t term; /* the newest term that the claimant had seen */
+};
+
+/* The duty record in the store. */
+struct relay_duty {
+	uint64_t revision; /* 0: there is none */
+	const char *holder; /* name of the proxy that claimed last */
+	const struct relay_promotion *promotions;
+	unsigned n_promotions;
+	/* False: a release wrote it that does not state its promotions. */
+	bool states_promotions;
+};
+
+/* What became of a request to promote. */
+enum relay_promoted {
+	RELAY_PROMOTED_ACCEPTED,
+	RELAY_PROMOTED_REFUSED, /* or not sent: it never takes effect */
+	RELAY_PROMOTED_UNKNOWN, /* no answer: it may take effect */
+};
+
 struct relay_ops {
 	/* Sends the answer to the session's one statement in flight. */
 	void (*answer)(void *ctx, uint64_t session,
@@ -73,10 +102,12 @@
 	 * on condition that its revision is still `expected` (0: there is
 	 * none). Answered by relay_on_claimed().
 	 */
-	void (*claim)(void *ctx, uint64_t expected);
+	void (*claim)(void *ctx, uint64_t expected,
+		      const struct relay_promotion *promotions,
+		      unsigned n_promotions);
 	/*
 	 * Asks the platform to promote the server. Answered by
-	 * relay_on_promoted().
+	 * relay_on_promoted() with the token.
 	 */
 	void (*promote)(void *ctx, const char *service, const char *server,
 			uint64_t token);
@@ -180,8 +211,7 @@
  */
 struct feed_source;
 struct feed_source *relay_feed_source(struct relay *r);
-/* The duty record in the store; revision 0: there is none. */
-void relay_on_duty(struct relay *r, uint64_t revision, const char *holder,
+void relay_on_duty(struct relay *r, const struct relay_duty *duty,
 		   uint64_t now_us);
 /*
  * All that the store had at this revision has been reported. Revisions count as
@@ -207,8 +237,8 @@
 /* revision: the new one when DONE, the current one when LOST. */
 void relay_on_claimed(struct relay *r, enum relay_claim outcome,
 		      uint64_t revision, uint64_t now_us);
-void relay_on_promoted(struct relay *r, const char *service, bool accepted,
-		       uint64_t now_us);
+void relay_on_promoted(struct relay *r, const char *service, uint64_t token,
+		       enum relay_promoted outcome, uint64_t now_us);
 
 /* Sessions of callers. The driver chooses the sessions' ids. */
 
--- a/packages/relay/src/cleanup.c
+++ b/packages/relay/src/cleanup.c
@@ -21,11 +21,11 @@
 static bool is_pause_needed(const struct rservice *v, const struct rserver *s,
 			    uint64_t now_us)
 {
-	if (now_us < v->relay->duty_others_seen_at_us + PROMOTION_MAX_US)
+	if (now_us < v->relay->duty_others_seen_at_us + PROMOTION_MAX_US ||
+	    rfailover_is_promotion_pending(v, now_us))
 		return true;
-	if (is_own_pause(v, s))
-		return rfailover_is_promotion_pending(v, now_us);
-	return now_us < s->seen_pause_at_us + PROMOTION_MAX_US;
+	return !is_own_pause(v, s) &&
+	       now_us < s->seen_pause_at_us + PROMOTION_MAX_US;
 }
 
 /*
--- a/packages/relay/src/durable.c
+++ b/packages/relay/src/durable.c
@@ -303,7 +303,7 @@
  */
 bool rdurable_is_withheld(struct rservice *v, uint64_t now_us)
 {
-	const struct rserver *target = rtarget_best(v);
+	const struct rserver *target = rtarget_choose(v, now_us);
 	const char *by = "";
 	bool is_withheld;
 
--- a/packages/relay/src/duty.c
+++ b/packages/relay/src/duty.c
@@ -3,7 +3,8 @@
  * knows, and whether its own claim may still be used. The record is in the
  * store; its revision is the token of a claim.
  */
-#include "relay_internal.h"
+#include "pending.h"
+#include "target.h"
 
 /*
  * Failure: another proxy claimed the duty just before the store came back from
@@ -44,24 +45,60 @@
 		 now_us < r->claimed_at_us + r->settings.claim_hold_us / 2));
 }
 
+/* The server that the claim may be used to promote, NULL: none. */
+static const struct rserver *planned_target(const struct rservice *v,
+					    uint64_t now_us)
+{
+	if (!v->fenced_at_us ||
+	    (v->phase != PHASE_CLAIM && v->phase != PHASE_LEASE_EXPIRY))
+		return NULL;
+	return v->target ? v->target : rtarget_choose(v, now_us);
+}
+
+static void plan_promotions(struct relay *r, uint64_t now_us)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, r->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct rservice *v = value;
+		const struct rserver *target = planned_target(v, now_us);
+
+		if (target)
+			rpending_plan(r->pending, v->name, target->info.id,
+				      v->term, now_us);
+	}
+}
+
 /*
  * Claims the duty unless a claim is under way. The outcome goes to
  * rfailover_on_claimed().
  */
 void rduty_claim(struct relay *r, uint64_t now_us)
 {
+	struct relay_promotion *promotions;
+	unsigned n;
+
 	if (r->claiming)
 		return;
 	r->claiming = true;
 	r->claim_sent_at_us = now_us;
-	r->ops->claim(r->ctx, r->duty_revision);
+	r->claim_expected = r->duty_revision;
+	rpending_begin_claim(r->pending, r->duty_revision, now_us);
+	plan_promotions(r, now_us);
+	promotions = rpending_list(r->pending, &n, now_us);
+	r->ops->claim(r->ctx, r->duty_revision, promotions, n);
+	g_free(promotions);
 }
 
 /* The store may have forgotten a claim: this proxy makes none for a while. */
 void rduty_await_forgotten(struct relay *r, uint64_t now_us)
 {
-	if (r->guards.expect_forgotten)
-		r->store_returned_at_us = now_us;
+	if (!r->guards.expect_forgotten)
+		return;
+	r->store_returned_at_us = now_us;
+	rpending_on_store_returned(r->pending, now_us);
 }
 
 /*
--- a/packages/relay/src/failover.c
+++ b/packages/relay/src/failover.c
@@ -17,6 +17,7 @@
 #define LOG_MODULE "change"
 #include "durable.h"
 #include "homes.h"
+#include "pending.h"
 #include "target.h"
 
 #include <celeryquay/base/log.h>
@@ -61,11 +62,12 @@
 	return v->phase != PHASE_WATCH;
 }
 
-/* Whether a promotion that this proxy requested may still take effect. */
+/* Whether a promotion of another server than the primary may take effect. */
 bool rfailover_is_promotion_pending(const struct rservice *v, uint64_t now_us)
 {
-	return v->promotion_sent_at_us &&
-	       now_us < v->promotion_sent_at_us + PROMOTION_MAX_US;
+	return rpending_may_replace(v->relay->pending, v->name,
+				    v->primary ? v->primary->info.id : NULL,
+				    now_us);
 }
 
 /* When a primary can be expected again, 0 if there is one that works. */
@@ -292,13 +294,42 @@
 		start_claim(v, now_us);
 }
 
+static void log_awaited(const struct rservice *v, uint64_t now_us)
+{
+	struct rpending_view pending =
+		rpending_of(v->relay->pending, v->name, now_us);
+	struct log_line *l = log_event(LOG_STATE, "promotion-awaited");
+
+	if (!l)
+		return;
+	log_cstr(l, "service", v->name);
+	log_cstr(l, "server", pending.server ? pending.server : "");
+	log_u64(l, "pending", pending.n);
+	log_event_end(l);
+}
+
+/*
+ * Whether no server may be named for now, because an earlier promotion may take
+ * effect: a change would only pause the replicas in vain.
+ */
+static bool is_promotion_awaited(struct rservice *v, uint64_t now_us)
+{
+	bool is_awaited = rtarget_best(v) && !rtarget_choose(v, now_us);
+
+	if (is_awaited && !v->promotion_awaited)
+		log_awaited(v, now_us);
+	v->promotion_awaited = is_awaited;
+	return is_awaited;
+}
+
 static void watch(struct rservice *v, uint64_t now_us)
 {
 	const char *why = failover_reason(v, now_us);
 
 	if (!why)
-		v->withheld = false;
-	if (!why || rdurable_is_withheld(v, now_us)) {
+		v->withheld = v->promotion_awaited = false;
+	if (!why || rdurable_is_withheld(v, now_us) ||
+	    is_promotion_awaited(v, now_us)) {
 		v->act_scheduled = false;
 		return;
 	}
@@ -330,8 +361,6 @@
 	v->tries = 0;
 	v->fence_term = rfence_next_term(v);
 	v->fenced_at_us = 0;
-	v->earlier_promotion_pending =
-		rfailover_is_promotion_pending(v, now_us);
 	enter(v, PHASE_FENCE, now_us);
 }
 
@@ -404,34 +433,29 @@
 }
 
 /*
- * Whether the target may be promoted in spite of an earlier promotion. Failure:
- * a promotion without an answer is given up, and another server is promoted.
- * The first promotion takes effect after all; that server is relied on as the
- * primary of its term and is then replaced by the second without a fence, so
- * what it acknowledged meanwhile is lost. Guard: as long as a promotion may
- * take effect no other server is promoted, unless the process of the first is
- * gone.
+ * Whether this process's claim states the promotion of the target. A change
+ * without a fence, as in tests, has no second claim to state it.
  */
-static bool may_be_promoted(const struct rservice *v,
-			    const struct rserver *target, uint64_t now_us)
+static bool is_stated(const struct rservice *v, const struct rserver *target)
 {
-	const struct rserver *told;
+	const struct relay *r = v->relay;
 
-	if (!v->promotion_target_id ||
-	    !rfailover_is_promotion_pending(v, now_us) ||
-	    !strcmp(v->promotion_target_id, target->info.id))
-		return true;
-	told = g_hash_table_lookup(v->relay->servers, v->promotion_target_id);
-	return !told || told->refused || told->moved;
+	return !r->guards.await_promotions || !v->fenced_at_us ||
+	       rpending_is_planned(r->pending, v->name, target->info.id,
+				   r->token_expected);
 }
 
 static void promote(struct rservice *v, uint64_t now_us)
 {
 	struct relay *r = v->relay;
-	struct rserver *best = rtarget_best(v);
+	struct rserver *best = rtarget_choose(v, now_us);
 	const char *by;
 
 	rtarget_log_candidates(v, best);
+	if (!best && rtarget_best(v)) {
+		abort_change(v, "another server's promotion may come", now_us);
+		return;
+	}
 	if (!best || (v->target && v->target != best)) {
 		abort_change(v, "no server can take over", now_us);
 		return;
@@ -441,14 +465,12 @@
 			     now_us);
 		return;
 	}
-	if (!may_be_promoted(v, best, now_us)) {
-		abort_change(v, "another server's promotion may come", now_us);
+	if (!is_stated(v, best)) {
+		claim_again(v, now_us);
 		return;
 	}
 	v->target = best;
-	g_free(v->promotion_target_id);
-	v->promotion_target_id = g_strdup(best->info.id);
-	v->promotion_sent_at_us = now_us;
+	rpending_on_sent(r->pending, v->name, best->info.id, r->token, now_us);
 	counter_add(r->n_promotions, 1);
 	enter(v, PHASE_PROMOTE, now_us);
 	r->ops->promote(r->ctx, v->name, v->target->info.id, r->token);
@@ -504,8 +526,10 @@
 	rfence_pause_others(v, now_us);
 	if (v->target)
 		rserver_probe_soon(v->target);
-	if (now_us > v->phase_started_at_us + SETTLE_TIMEOUT_US)
-		abort_change(v, "the target does not lead", now_us);
+	if (now_us <= v->phase_started_at_us + SETTLE_TIMEOUT_US)
+		return;
+	rpending_on_not_settled(v->relay->pending, v->name);
+	abort_change(v, "the target does not lead", now_us);
 }
 
 /* Runs the state machine. */
@@ -535,7 +559,8 @@
 	case PHASE_PROMOTE:
 		rfence_pause_others(v, now_us);
 		if (now_us > v->phase_started_at_us + PROMOTE_TIMEOUT_US)
-			rfailover_on_promoted(v, false, now_us);
+			rfailover_on_promoted(v, RELAY_PROMOTED_UNKNOWN,
+					      now_us);
 		break;
 	case PHASE_AWAIT_PRIMARY:
 		settle(v, now_us);
@@ -575,15 +600,13 @@
 	}
 }
 
-/*
- * Handles the platform's answer to the promotion; accepted is also false if it
- * gave none.
- */
-void rfailover_on_promoted(struct rservice *v, bool accepted, uint64_t now_us)
+/* Handles the platform's answer to the promotion, or the lack of one. */
+void rfailover_on_promoted(struct rservice *v, enum relay_promoted outcome,
+			   uint64_t now_us)
 {
 	if (v->phase != PHASE_PROMOTE)
 		return;
-	if (accepted) {
+	if (outcome == RELAY_PROMOTED_ACCEPTED) {
 		enter(v, PHASE_AWAIT_PRIMARY, now_us);
 		return;
 	}
@@ -655,15 +678,6 @@
 	}
 	if (v->phase != PHASE_WATCH && other_primary_leads(v, now_us)) {
 		log_change(v, "done", v->primary->info.id, now_us);
-		/*
-		 * All tries under one fence name the same target, so no other
-		 * promotion of this proxy is pending. Otherwise replicas that
-		 * were paused in a term above the new one, as by a second
-		 * fence, would stay paused for seconds, and none could confirm
-		 * the new primary.
-		 */
-		if (v->primary == v->target && !v->earlier_promotion_pending)
-			v->promotion_sent_at_us = 0;
 		v->act_scheduled = false;
 		enter(v, PHASE_WATCH, now_us);
 	}
--- a/packages/relay/src/primary.c
+++ b/packages/relay/src/primary.c
@@ -10,6 +10,7 @@
  * and knew of no higher term.
  */
 #define LOG_MODULE "lead"
+#include "pending.h"
 #include "relay_internal.h"
 
 #include <celeryquay/base/log.h>
@@ -125,6 +126,8 @@
 		v->lead_start = s->status.received;
 		v->lead_seen_at_us = now_us;
 	}
+	rpending_on_leader(v->relay->pending, v->name, s->info.id,
+			   s->status.term);
 	set_term(v, s->status.term, now_us);
 	rprimary_probe_all(v);
 }
--- a/packages/relay/src/relay.c
+++ b/packages/relay/src/relay.c
@@ -4,6 +4,7 @@
  */
 #define LOG_MODULE "relay"
 #include "homes.h"
+#include "pending.h"
 #include "scheduler.h"
 #include "status.h"
 #include "wait.h"
@@ -96,6 +97,7 @@
 					 rconn_free);
 	r->sessions = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					    rsession_destroy);
+	r->pending = rpending_create();
 	r->peers = peers_table_new();
 	r->place = rplace_create(settings);
 	r->knows_fleet = true; /* until the first list of proxies */
@@ -140,6 +142,7 @@
 	g_hash_table_destroy(r->via);
 	rlimit_clear(r);
 	g_hash_table_destroy(r->servers);
+	rpending_destroy(r->pending);
 	peers_clear(r);
 	g_ptr_array_unref(r->active);
 	g_ptr_array_unref(r->scheduled);
@@ -239,28 +242,34 @@
 	return r->claiming && !g_strcmp0(holder, r->name);
 }
 
+static void note_claim(struct relay *r, uint64_t revision, const char *holder,
+		       bool is_first, uint64_t now_us)
+{
+	r->duty_revision = revision;
+	r->duty_changed_at_us = now_us;
+	if (is_own_claim(r, revision, holder))
+		return;
+	r->duty_others_seen_at_us = now_us;
+	r->duty_others_claimed_at_us = is_first ? 0 : now_us;
+}
+
 /*
  * Applies the duty record unless a newer revision is known. The record may also
  * be gone, if the store came back from a copy that lacks it.
  */
-void relay_on_duty(struct relay *r, uint64_t revision, const char *holder,
+void relay_on_duty(struct relay *r, const struct relay_duty *duty,
 		   uint64_t now_us)
 {
 	bool is_first = !r->duty_known;
 
 	r->duty_known = true;
-	if (revision && revision < r->duty_revision)
+	if (duty->revision && duty->revision < r->duty_revision)
 		return;
-	if (revision != r->duty_revision) {
-		r->duty_revision = revision;
-		r->duty_changed_at_us = now_us;
-		if (!is_own_claim(r, revision, holder)) {
-			r->duty_others_seen_at_us = now_us;
-			r->duty_others_claimed_at_us = is_first ? 0 : now_us;
-		}
-	}
+	rpending_on_duty(r->pending, duty, now_us);
+	if (duty->revision != r->duty_revision)
+		note_claim(r, duty->revision, duty->holder, is_first, now_us);
 	g_free(r->duty_holder);
-	r->duty_holder = g_strdup(holder);
+	r->duty_holder = g_strdup(duty->holder);
 }
 
 /*
@@ -351,33 +360,52 @@
 	log_event_end(l);
 }
 
+static void on_own_claim(struct relay *r, uint64_t revision, uint64_t now_us)
+{
+	struct relay_duty duty = { .revision = revision,
+				   .holder = r->name,
+				   .states_promotions = true };
+
+	r->token = revision;
+	r->token_expected = r->claim_expected;
+	r->claimed_at_us = r->claim_sent_at_us;
+	relay_on_duty(r, &duty, now_us);
+}
+
+/* What the other claim states is not known until the record has been read. */
+static void on_lost_claim(struct relay *r, uint64_t revision, uint64_t now_us)
+{
+	r->token = 0;
+	if (revision <= r->duty_revision)
+		return;
+	r->duty_known = false;
+	note_claim(r, revision, "another", false, now_us);
+	g_free(r->duty_holder);
+	r->duty_holder = g_strdup("another");
+}
+
 /* The outcome of a claim. */
 void relay_on_claimed(struct relay *r, enum relay_claim outcome,
 		      uint64_t revision, uint64_t now_us)
 {
 	r->claiming = false;
 	log_claimed(r, outcome, revision, now_us);
-	if (outcome == RELAY_CLAIM_DONE) {
-		r->token = revision;
-		relay_on_duty(r, revision, r->name, now_us);
-		r->claimed_at_us = r->claim_sent_at_us;
-	} else if (outcome == RELAY_CLAIM_LOST) {
-		if (revision > r->duty_revision)
-			relay_on_duty(r, revision, "another", now_us);
-		r->token = 0;
-	}
+	if (outcome == RELAY_CLAIM_DONE)
+		on_own_claim(r, revision, now_us);
+	else if (outcome == RELAY_CLAIM_LOST)
+		on_lost_claim(r, revision, now_us);
 	rfailover_on_claimed(r, outcome, now_us);
 }
 
 /* The platform's answer to a request to promote. */
-void relay_on_promoted(struct relay *r, const char *service, bool accepted,
-		       uint64_t now_us)
+void relay_on_promoted(struct relay *r, const char *service, uint64_t token,
+		       enum relay_promoted outcome, uint64_t now_us)
 {
 	struct rservice *v = g_hash_table_lookup(r->services, service);
 
-	if (!v)
+	if (!rpending_on_answered(r->pending, service, token, outcome) || !v)
 		return;
-	rfailover_on_promoted(v, accepted, now_us);
+	rfailover_on_promoted(v, outcome, now_us);
 	rfailover_tick(v, now_us);
 }
 
--- a/packages/relay/src/relay_internal.h
+++ b/packages/relay/src/relay_internal.h
@@ -9,7 +9,8 @@
  * certain, rtrust_ which replicas' confirmations of that are trusted,
  * rfailover_ failover, the replacement of a primary, rtarget_ who may be
  * promoted, rdurable_ whether it has all that was acknowledged, rfence_ the
- * fence, rduty_ the duty record, rcleanup_ cleanup after failovers, rpartition_
+ * fence, rduty_ the duty record, rpending_ promotions that may still take
+ * effect, rcleanup_ cleanup after failovers, rpartition_
  * network partitions, peers_ other proxies, role_ roles, rank_ ranks, via_
  * homes that sessions go through, raccount_ client accounts, rlimit_ their
  * limits, rgrantor_ the proxies that grant tokens of these, routlier_ servers
@@ -39,6 +40,7 @@
 struct rserver;
 struct rsession;
 struct rlimit;
+struct rpending;
 struct rsched;
 struct sconn_usage;
 
@@ -279,10 +281,8 @@
 	struct rserver *target; /* the server being promoted */
 	uint64_t fence_term; /* the term of the pauses and step-down */
 	uint64_t fenced_at_us; /* when the fence was complete, 0: it isn't */
-	uint64_t promotion_sent_at_us; /* to the platform, 0: never */
-	char *promotion_target_id; /* the id of the server named in it */
-	/* A promotion under an earlier fence may still take effect. */
-	bool earlier_promotion_pending;
+	/* An earlier promotion may take effect, and is waited for. */
+	bool promotion_awaited;
 };
 
 enum rrun_state {
@@ -404,6 +404,8 @@
 				   */
 	/* Claims and servers that a store has forgotten still count. */
 	bool expect_forgotten;
+	/* A promotion that may take effect keeps others from being made. */
+	bool await_promotions;
 };
 
 struct relay {
@@ -501,7 +503,10 @@
 	bool claiming; /* a claim awaits its answer */
 	uint64_t claimed_at_us; /* start of the claim that gave `token` */
 	uint64_t claim_sent_at_us; /* start of the last claim */
+	uint64_t claim_expected; /* the revision that it replaces */
 	uint64_t token; /* revision of this process's claim, 0: none */
+	uint64_t token_expected; /* the revision that this claim replaced */
+	struct rpending *pending; /* promotions that may take effect */
 
 	struct counter *n_reads_replica;
 	struct counter *n_reads_primary;
@@ -736,7 +741,8 @@
 void rfailover_tick(struct rservice *v, uint64_t now_us);
 void rfailover_on_claimed(struct relay *r, enum relay_claim outcome,
 			  uint64_t now_us);
-void rfailover_on_promoted(struct rservice *v, bool accepted, uint64_t now_us);
+void rfailover_on_promoted(struct rservice *v, enum relay_promoted outcome,
+			   uint64_t now_us);
 void rfailover_on_status(struct rserver *s, uint64_t now_us);
 void rfailover_on_maybe_restarted(struct rserver *s, uint64_t now_us);
 bool rfailover_is_running(const struct rservice *v);
--- a/packages/relay/src/server.c
+++ b/packages/relay/src/server.c
@@ -460,7 +460,6 @@
 	g_ptr_array_free(v->homes, TRUE);
 	g_ptr_array_free(v->spares, TRUE);
 	rsched_destroy(v->sched);
-	g_free(v->promotion_target_id);
 	g_free(v->name);
 	g_free(v);
 }
--- a/packages/relay/src/target.c
+++ b/packages/relay/src/target.c
@@ -8,6 +8,7 @@
  * Elsewhere only a server that stays is.
  */
 #define LOG_MODULE "target"
+#include "pending.h"
 #include "target.h"
 
 #include <celeryquay/base/log.h>
@@ -107,6 +108,32 @@
 	return best;
 }
 
+/*
+ * The server to promote, which is the one that an earlier promotion names if
+ * that may still take effect. NULL: none can lead, or another one may come to
+ * lead; see pending.c.
+ */
+struct rserver *rtarget_choose(const struct rservice *v, uint64_t now_us)
+{
+	struct relay *r = v->relay;
+	struct rpending_view pending = rpending_of(r->pending, v->name, now_us);
+	struct rserver *best = rtarget_best(v);
+	struct rserver *named;
+
+	if (!pending.n || !r->guards.await_promotions)
+		return best;
+	named = pending.server ?
+			g_hash_table_lookup(r->servers, pending.server) :
+			NULL;
+	if (named && named->moved)
+		return best;
+	if (named && rtarget_is_replica(named) && named != outgoing(v) &&
+	    (pending.must_be_awaited || !best ||
+	     position_cmp(named->status.received, best->status.received) >= 0))
+		return named;
+	return pending.must_be_awaited ? NULL : best;
+}
+
 /* Whether a change could promote a server now. */
 bool rtarget_exists(const struct rservice *v)
 {
--- a/packages/relay/src/target.h
+++ b/packages/relay/src/target.h
@@ -13,6 +13,8 @@
 bool rtarget_may_be_leaving(const struct rservice *v);
 /* The server to promote in place of the primary, or NULL. */
 struct rserver *rtarget_best(const struct rservice *v);
+/* The same beside earlier promotions that may still take effect. */
+struct rserver *rtarget_choose(const struct rservice *v, uint64_t now_us);
 /* The best of those that will go on running, or NULL. */
 struct rserver *rtarget_successor(const struct rservice *v);
 /* Whether that one has nearly all of the primary's log. */
--- a/packages/relay/src/trust.c
+++ b/packages/relay/src/trust.c
@@ -168,9 +168,12 @@
 {
 	const struct relay *r = v->relay;
 
-	return r->guards.distrust_unpaused &&
-	       r->duty_changed_at_us > v->term_seen_at_us &&
-	       now_us < r->duty_changed_at_us + PROMOTION_MAX_US;
+	if (!r->guards.distrust_unpaused)
+		return false;
+	return (r->duty_changed_at_us > v->term_seen_at_us &&
+		now_us < r->duty_changed_at_us + PROMOTION_MAX_US) ||
+	       (r->guards.await_promotions &&
+		rfailover_is_promotion_pending(v, now_us));
 }
 
 /* Whether the server's confirmation is sufficient without any other. */
--- a/packages/relay/tests/support_group.h
+++ b/packages/relay/tests/support_group.h
@@ -120,14 +120,34 @@
 	bool lost; /* rolled back by a promotion */
 };
 
+#define FAKE_STATED_MAX 32
+
+/* What a claim of the duty record states. */
+struct fake_stated {
+	unsigned n;
+	struct {
+		char service[8];
+		char server[8];
+		uint64_t claim;
+		uint64_t term;
+	} list[FAKE_STATED_MAX];
+};
+
 /* What a copy of the store holds. */
 struct fake_copy {
 	uint64_t revision;
 	uint64_t duty_revision;
 	char duty_holder[8];
+	struct fake_stated stated;
 	bool listed[MAX_SERVERS];
 };
 
+/* The server that a promotion call names. */
+struct fake_named {
+	unsigned server;
+	uint64_t at_us; /* when the call was sent, 0: never */
+};
+
 struct fake {
 	uint64_t now_us;
 	uint64_t n_events;
@@ -165,6 +185,8 @@
 	unsigned n_promotions_to_drop; /* next promotion calls to drop */
 	uint64_t
 		promote_call_delay_us; /* additional delay of promotion calls */
+	bool takes_any_token; /* the platform does not check tokens */
+	bool refuses_promotions; /* the platform refuses all calls */
 	uint64_t promote_duration_us; /* from the call until a promotion takes
 					 effect */
 	GArray *commits; /* struct fake_commit; the first is unused */
@@ -172,6 +194,7 @@
 	unsigned n_promotions; /* that took effect */
 	uint64_t last_token; /* newest token that a relay sent */
 	unsigned last_token_relay; /* index of the relay that sent it */
+	struct fake_named named[MAX_GROUPS]; /* by the last promotion call */
 	uint64_t platform_token; /* highest token that reached the platform */
 	/*
 	 * Store revision of lists and of the duty record. Like all revisions
@@ -182,6 +205,7 @@
 	struct fake_copy copy;
 	uint64_t duty_revision; /* revision of the duty record, 0: no claim */
 	char duty_holder[8]; /* name of the relay that claimed last */
+	struct fake_stated stated; /* by the duty record */
 	bool accounts; /* callers have keys; see support_accounts.c */
 	unsigned n_accounts;
 	bool limits; /* accounts have rate limits */
--- a/packages/relay/tests/support_platform.c
+++ b/packages/relay/tests/support_platform.c
@@ -30,7 +30,9 @@
 	bool other_era; /* a claim was carried out in another one */
 	enum relay_claim outcome; /* of a claim */
 	unsigned server; /* to promote */
+	uint64_t sent_at_us; /* of a promotion */
 	bool accepted; /* promotion: carried out; claim: its reply arrives */
+	struct fake_stated stated; /* by a claim */
 };
 
 static bool is_reachable(const struct fake_server *s)
@@ -188,6 +190,23 @@
 			f->servers[i].held = 0;
 }
 
+/*
+ * No other server may be named before it is certain that an earlier promotion
+ * can't take effect.
+ */
+static void check_named_alone(struct fake *f, const struct call *call)
+{
+	const struct fake_server *s = &f->servers[call->server];
+	const struct fake_named *named = &f->named[s->group];
+
+	if (named->at_us > call->sent_at_us && named->server != call->server)
+		hist_violation(f,
+			       "the promotion of %s takes effect %u ms "
+			       "after another server was named",
+			       s->id,
+			       (unsigned)((f->now_us - named->at_us) / MS));
+}
+
 /* Commits missing in the new primary's log are lost, even if acknowledged. */
 static void promoted_event(struct fake *f, void *data)
 {
@@ -197,6 +216,7 @@
 
 	if (s->down || s->role == ROLE_PRIMARY)
 		return;
+	check_named_alone(f, call);
 	s->applied = s->log->len;
 	s->role = ROLE_PRIMARY;
 	s->was_primary = true;
@@ -225,7 +245,9 @@
 	if (!is_current_process(f, call))
 		return;
 	relay_on_promoted(f->relays[call->relay].relay,
-			  f->servers[call->server].service, call->accepted,
+			  f->servers[call->server].service, call->number,
+			  call->accepted ? RELAY_PROMOTED_ACCEPTED :
+					   RELAY_PROMOTED_REFUSED,
 			  f->now_us);
 }
 
@@ -238,7 +260,9 @@
 	struct call *call = data;
 	struct fake_server *s = &f->servers[call->server];
 
-	call->accepted = !s->down && call->number >= f->platform_token;
+	call->accepted =
+		!s->down && !f->refuses_promotions &&
+		(f->takes_any_token || call->number >= f->platform_token);
 	f->platform_token = MAX(f->platform_token, call->number);
 	if (f->n_promotions_to_drop) {
 		f->n_promotions_to_drop--;
@@ -277,6 +301,9 @@
 	while (strcmp(r->fake->servers[call.server].id, server))
 		call.server++;
 	note_token(r->fake, &call);
+	call.sent_at_us = r->fake->now_us;
+	r->fake->named[r->fake->servers[call.server].group] =
+		(struct fake_named){ call.server, call.sent_at_us };
 	fake_at(r->fake, -1, 2 * MS + r->fake->promote_call_delay_us,
 		promote_event, g_memdup2(&call, sizeof(call)), g_free);
 }
@@ -339,6 +366,29 @@
 	send_list(f, data);
 }
 
+/* Reports the duty record to the relay. */
+static void tell_duty(struct fake *f, struct fake_relay *r)
+{
+	struct relay_promotion list[FAKE_STATED_MAX];
+	struct relay_duty duty = {
+		.revision = f->duty_revision,
+		.holder = *f->duty_holder ? f->duty_holder : NULL,
+		.promotions = list,
+		.n_promotions = f->stated.n,
+		.states_promotions = true,
+	};
+	unsigned i;
+
+	for (i = 0; i < f->stated.n; i++)
+		list[i] = (struct relay_promotion){
+			.service = f->stated.list[i].service,
+			.server = f->stated.list[i].server,
+			.claim = f->stated.list[i].claim,
+			.term = f->stated.list[i].term,
+		};
+	relay_on_duty(r->relay, &duty, f->now_us);
+}
+
 /* The relay learns of the store's return and reads everything again. */
 static void learn_return(struct fake *f, struct fake_relay *r)
 {
@@ -349,8 +399,7 @@
 	r->n_lists_in_flight = 0;
 	r->returned_at_us = f->now_us;
 	relay_on_store_era(r->relay, f->era, true, f->now_us);
-	relay_on_duty(r->relay, f->duty_revision,
-		      *f->duty_holder ? f->duty_holder : NULL, f->now_us);
+	tell_duty(f, r);
 	r->list_dropped = r->drop_lists;
 	if (!r->drop_lists) {
 		n = list_servers(f, r, infos);
@@ -404,6 +453,7 @@
 	f->copy.duty_revision = f->duty_revision;
 	g_strlcpy(f->copy.duty_holder, f->duty_holder,
 		  sizeof(f->copy.duty_holder));
+	f->copy.stated = f->stated;
 	for (i = 0; i < MAX_SERVERS; i++)
 		f->copy.listed[i] = f->servers[i].listed;
 }
@@ -439,6 +489,7 @@
 	f->duty_revision =
 		f->copy.duty_revision ? in_era(f, f->copy.duty_revision) : 0;
 	g_strlcpy(f->duty_holder, f->copy.duty_holder, sizeof(f->duty_holder));
+	f->stated = f->copy.stated;
 	for (i = 0; i < f->n_servers; i++)
 		restore_server(f, &f->servers[i]);
 	for (i = 0; i < f->n_relays; i++) {
@@ -458,8 +509,7 @@
 	if (f->relays[call->relay].deaf || !is_current_process(f, call) ||
 	    !check_era(f, &f->relays[call->relay], f->era))
 		return;
-	relay_on_duty(f->relays[call->relay].relay, f->duty_revision,
-		      *f->duty_holder ? f->duty_holder : NULL, f->now_us);
+	tell_duty(f, &f->relays[call->relay]);
 	send_revision(&f->relays[call->relay], call->revision);
 }
 
@@ -500,6 +550,7 @@
 		f->duty_revision = f->revision;
 		g_strlcpy(f->duty_holder, f->relays[call->relay].name,
 			  sizeof(f->duty_holder));
+		f->stated = call->stated;
 		send_duty(f);
 	}
 	call->revision = f->duty_revision;
@@ -511,8 +562,27 @@
 			g_memdup2(call, sizeof(*call)), g_free);
 }
 
+static void copy_stated(struct fake_stated *to,
+			const struct relay_promotion *from, unsigned n)
+{
+	unsigned i;
+
+	g_assert(n <= FAKE_STATED_MAX);
+	to->n = n;
+	for (i = 0; i < n; i++) {
+		g_strlcpy(to->list[i].service, from[i].service,
+			  sizeof(to->list[i].service));
+		g_strlcpy(to->list[i].server, from[i].server,
+			  sizeof(to->list[i].server));
+		to->list[i].claim = from[i].claim;
+		to->list[i].term = from[i].term;
+	}
+}
+
 /* A claim whose reply is lost takes effect up to 3 s later, or never. */
-static void on_claim(void *ctx, uint64_t expected)
+static void on_claim(void *ctx, uint64_t expected,
+		     const struct relay_promotion *promotions,
+		     unsigned n_promotions)
 {
 	struct fake_relay *r = ctx;
 	struct fake *f = r->fake;
@@ -522,6 +592,7 @@
 			     .era = r->era };
 	uint64_t delay_us = 2 * MS;
 
+	copy_stated(&call.stated, promotions, n_promotions);
 	call.outcome = RELAY_CLAIM_UNKNOWN;
 	if (r->deaf) {
 		fake_at(f, (int)r->index, CLAIM_TIMEOUT_US, claimed_event,
@@ -718,7 +789,7 @@
 	memset(f->cut, 0, sizeof(f->cut));
 	memset(f->side, 0, sizeof(f->side));
 	f->lose_answers = f->lose_claims = f->busy = 0;
-	f->lose_promote_replies = false;
+	f->lose_promote_replies = f->refuses_promotions = false;
 	f->promote_call_delay_us = 0;
 	for (i = 0; i < f->n_servers; i++) {
 		f->servers[i].dark = false;
@@ -818,7 +889,7 @@
 	r->index = index;
 	g_snprintf(r->name, sizeof(r->name), "relay%u", index);
 	start_relay(r, catalog);
-	relay_on_duty(r->relay, 0, NULL, f->now_us);
+	tell_duty(f, r);
 	fake_at(f, (int)index, MS, tick_event, r, NULL);
 }
 
--- a/packages/relay/tests/test_histories.c
+++ b/packages/relay/tests/test_histories.c
@@ -206,7 +206,7 @@
 	"distrust_unpaused",  "distrust_newly_listed", "check_list_age",
 	"leave_when_cut_off", "own_connections",       "check_keys",
 	"check_key_age",      "limit_accounts",	       "renew_lease_at_once",
-	"expect_forgotten",
+	"expect_forgotten",   "await_promotions",
 };
 
 #define GUARD_SEEDS 400
@@ -255,6 +255,6 @@
 	g_log_set_writer_func(discard_log, NULL, NULL);
 	tcase_add_test(tc, test_answers_are_true_under_faults);
 	tcase_add_loop_test(tc, test_checker_reports_a_disabled_guard, 1,
-			    G_N_ELEMENTS(guards) - 16);
+			    G_N_ELEMENTS(guards) - 17);
 	return suite_main("histories", tc);
 }
