base: JSON from outside is read by one strict reader

Cause: JSON-GLib recurses for each level of nesting, without a limit, and reads more than JSON: comments and single quotes. The check before it had a grammar of its own, in which one double quote inside a comment made the rest a string. Ten other places handed bytes from outside to JSON-GLib with no check at all, and the scan of callers' bodies had a third grammar.

Change: strict_json.c is the only way to JSON-GLib's parser. It accepts exactly one value by RFC 8259, without recursion, nested at most 32 levels (16 in a caller's body), and refuses what JSON-GLib reads otherwise: large integers, a NUL or half a surrogate pair. The scan of callers' bodies is now this one.

--- a/packages/base/src/settings.c
+++ b/packages/base/src/settings.c
@@ -1,5 +1,7 @@
 #include <celeryquay/base/settings.h>
 
+#include <celeryquay/base/strict_json.h>
+
 #include <math.h>
 #include <stdarg.h>
 #include <stdio.h>
@@ -8,8 +10,6 @@
 #define DAY_MS (INT64_C(24) * 3600 * 1000)
 #define RATE_MAX 1e9
 #define COUNT_MAX 1000000
-/* Levels of nesting; bounds the recursion of json-glib. */
-#define DEPTH_MAX 32
 
 const char *const SETTINGS_REQUIRED_STR = "\001required";
 
@@ -33,33 +33,6 @@
 	return s;
 }
 
-/*
- * Whether the JSON nests deeper than DEPTH_MAX, which no valid settings do.
- * json-glib recurses for each level: 100,000 brackets in a file or an item
- * would overflow the stack and crash the process.
- */
-static bool is_too_deep(const char *data, size_t len)
-{
-	unsigned depth = 0;
-	bool in_string = false;
-	size_t i;
-
-	for (i = 0; i < len; i++) {
-		char c = data[i];
-
-		if (in_string && c == '\\')
-			i++;
-		else if (c == '"')
-			in_string = !in_string;
-		else if (!in_string && (c == '[' || c == '{') &&
-			 ++depth > DEPTH_MAX)
-			return true;
-		else if (!in_string && (c == ']' || c == '}') && depth)
-			depth--;
-	}
-	return false;
-}
-
 /* Called by the parser after each array element. */
 static void on_element(JsonParser *parser, JsonArray *array, gint index,
 		       gpointer pace)
@@ -88,21 +61,16 @@
 {
 	JsonParser *parser;
 	struct settings *s = NULL;
-	GError *error = NULL;
+	struct err reason = { 0 };
 	JsonNode *root;
 
-	if (is_too_deep(data, len)) {
-		err_set(err, ERR_BAD_SETTINGS, "%s: nested too deeply", source);
-		return NULL;
-	}
 	parser = json_parser_new();
 	if (pace)
 		g_signal_connect(parser, "array-element",
 				 G_CALLBACK(on_element), pace);
-	if (!json_parser_load_from_data(parser, data, (gssize)len, &error)) {
+	if (!strict_json_load(parser, (struct str){ data, len }, &reason)) {
 		err_set(err, ERR_BAD_SETTINGS, "%s: %s", source,
-			error->message);
-		g_error_free(error);
+			reason.message);
 		goto out;
 	}
 	root = json_parser_get_root(parser);
--- a/packages/base/tests/test_base.c
+++ b/packages/base/tests/test_base.c
@@ -180,7 +180,7 @@
 	struct settings *s;
 
 	ck_assert_ptr_null(read_json(deep, &err));
-	ck_assert_str_eq(err.message, "file.json: nested too deeply");
+	ck_assert_str_eq(err.message, "file.json: byte 32: nested too deeply");
 	s = read_json("{\"a\":\"[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[\\\"[\"}",
 		      &err);
 	ck_assert_ptr_nonnull(s);
--- a/packages/cli/src/cli_item.c
+++ b/packages/cli/src/cli_item.c
@@ -1,5 +1,7 @@
 #include "cli.h"
 
+#include <celeryquay/base/strict_json.h>
+
 #include <stdio.h>
 #include <string.h>
 #include <unistd.h>
@@ -226,6 +228,7 @@
 {
 	JsonParser *parser = json_parser_new();
 	JsonObject *value = NULL;
+	struct err reason = { 0 };
 	GError *error = NULL;
 	char *text = NULL;
 	JsonNode *root;
@@ -235,7 +238,7 @@
 	else if (!g_file_get_contents(strcmp(arg, "-") ? arg : "/dev/stdin",
 				      &text, NULL, &error))
 		goto out;
-	if (!json_parser_load_from_data(parser, text, -1, &error))
+	if (!strict_json_load(parser, str_from_c(text), &reason))
 		goto out;
 	root = json_parser_get_root(parser);
 	if (root && JSON_NODE_HOLDS_OBJECT(root))
@@ -244,6 +247,8 @@
 	if (error) {
 		cli_fail(CLI_USAGE, "%s", error->message);
 		g_error_free(error);
+	} else if (reason.code) {
+		cli_fail(CLI_USAGE, "%s", reason.message);
 	} else if (!value) {
 		cli_fail(CLI_USAGE, "the value is not a JSON object");
 	}
@@ -285,7 +290,7 @@
 	if (!equals || equals == arg)
 		return false;
 	name = g_strndup(arg, (gsize)(equals - arg));
-	node = json_from_string(equals + 1, NULL);
+	node = strict_json_parse(str_from_c(equals + 1), NULL);
 	if (!node) {
 		node = json_node_new(JSON_NODE_VALUE);
 		json_node_set_string(node, equals + 1);
--- a/packages/cli/src/log_lines.c
+++ b/packages/cli/src/log_lines.c
@@ -1,5 +1,7 @@
 #include "log_lines.h"
 
+#include <celeryquay/base/strict_json.h>
+
 #include <string.h>
 
 #define LINE_MAX_BYTES ((size_t)1024 * 1024) /* longer lines are skipped */
@@ -91,7 +93,7 @@
 {
 	JsonNode *root;
 
-	if (!json_parser_load_from_data(parser, text, (gssize)len, NULL))
+	if (!strict_json_load(parser, (struct str){ text, len }, NULL))
 		return NULL;
 	root = json_parser_get_root(parser);
 	return root && JSON_NODE_HOLDS_OBJECT(root) ?
--- a/packages/client/src/http.c
+++ b/packages/client/src/http.c
@@ -1,5 +1,7 @@
 #include <celeryquay/client/http.h>
 
+#include <celeryquay/base/strict_json.h>
+
 #include <curl/curl.h>
 
 #define DEFAULT_TIMEOUT_MS 30000L
@@ -62,8 +64,8 @@
 	JsonNode *root;
 
 	reply->parser = json_parser_new();
-	if (!json_parser_load_from_data(reply->parser, reply->body->str,
-					(gssize)reply->body->len, NULL))
+	if (!strict_json_load(reply->parser, str_from_gstring(reply->body),
+			      NULL))
 		return;
 	root = json_parser_get_root(reply->parser);
 	if (root && JSON_NODE_HOLDS_OBJECT(root))
--- a/packages/core/src/outcome.c
+++ b/packages/core/src/outcome.c
@@ -1,5 +1,7 @@
 #include "outcome.h"
 
+#include <celeryquay/base/strict_json.h>
+
 #include <celeryquay/core/upstream.h>
 #include <json-glib/json-glib.h>
 #include <string.h>
@@ -43,8 +45,7 @@
 	g_string_append_c(list, '[');
 	g_string_append_len(list, text, (gssize)len);
 	g_string_append_c(list, ']');
-	ok = json_parser_load_from_data(parser, list->str, (gssize)list->len,
-					NULL);
+	ok = strict_json_load(parser, str_from_gstring(list), NULL);
 	g_string_free(list, TRUE);
 	root = ok ? json_parser_get_root(parser) : NULL;
 	return root && JSON_NODE_HOLDS_ARRAY(root) ? json_node_get_array(root) :
--- a/packages/core/src/status.c
+++ b/packages/core/src/status.c
@@ -1,5 +1,7 @@
 #include <celeryquay/core/upstream.h>
 
+#include <celeryquay/base/strict_json.h>
+
 #include "status_scan.h"
 
 #include <json-glib/json-glib.h>
@@ -138,8 +140,7 @@
 	JsonNode *root;
 	bool ok = false;
 
-	if (json_parser_load_from_data(parser, json.data, (gssize)json.len,
-				       NULL)) {
+	if (strict_json_load(parser, json, NULL)) {
 		root = json_parser_get_root(parser);
 		ok = root && JSON_NODE_HOLDS_OBJECT(root) &&
 		     get_status(json_node_get_object(root), out);
--- a/packages/daemon/src/admin_items.c
+++ b/packages/daemon/src/admin_items.c
@@ -3,6 +3,7 @@
 #include "store_sync.h"
 
 #include <celeryquay/base/log.h>
+#include <celeryquay/base/strict_json.h>
 #include <json-glib/json-glib.h>
 
 #include <inttypes.h>
@@ -107,8 +108,7 @@
 	JsonNode *root, *value;
 
 	out->parser = json_parser_new();
-	if (!json_parser_load_from_data(out->parser, body.data,
-					(gssize)body.len, NULL) ||
+	if (!strict_json_load(out->parser, body, NULL) ||
 	    !(root = json_parser_get_root(out->parser)) ||
 	    !JSON_NODE_HOLDS_OBJECT(root)) {
 		err_set(err, ERR_BAD_JSON, "the body is not a JSON object");
--- a/packages/daemon/src/store_sync.c
+++ b/packages/daemon/src/store_sync.c
@@ -2,6 +2,7 @@
 #include "store_sync.h"
 
 #include <celeryquay/base/log.h>
+#include <celeryquay/base/strict_json.h>
 #include <celeryquay/transport/kv_stamp.h>
 #include <json-glib/json-glib.h>
 
@@ -470,8 +471,7 @@
 	bool same = false;
 	JsonNode *root;
 
-	if (json_parser_load_from_data(parser, kv->value.data,
-				       (gssize)kv->value.len, NULL)) {
+	if (strict_json_load(parser, kv->value, NULL)) {
 		root = json_parser_get_root(parser);
 		if (root && JSON_NODE_HOLDS_OBJECT(root))
 			same = !g_strcmp0(
--- a/packages/transport/src/front_body.c
+++ b/packages/transport/src/front_body.c
@@ -1,5 +1,7 @@
 #include "front_private.h"
 
+#include <celeryquay/base/strict_json.h>
+
 #include <json-glib/json-glib.h>
 #include <math.h>
 #include <string.h>
@@ -234,25 +236,6 @@
 	return !statements || read_statements(r, node, totals, err);
 }
 
-static JsonNode *parse_json(struct str body, struct err *err)
-{
-	JsonParser *parser = json_parser_new();
-	GError *error = NULL;
-	JsonNode *root = NULL;
-
-	if (json_parser_load_from_data(parser, body.data, (gssize)body.len,
-				       &error))
-		root = json_parser_steal_root(parser);
-	if (error) {
-		err_set(err, ERR_BAD_JSON, "%s", error->message);
-		g_error_free(error);
-	} else if (!root) {
-		err_set(err, ERR_BAD_JSON, "the body is empty");
-	}
-	g_object_unref(parser);
-	return root;
-}
-
 static void free_node(void *node)
 {
 	json_node_unref(node);
@@ -261,7 +244,8 @@
 /*
  * Reads the whole body. For duplicate keys the parser keeps only the last
  * value, but the proxy can't know which of the two amounts the caller meant.
- * So the body is refused if fewer members were read than front_scan() counted.
+ * So the body is refused if fewer members were read than strict_json_check()
+ * counted.
  */
 static bool read_body(struct request *r, JsonNode *root, unsigned members,
 		      struct err *err)
@@ -288,9 +272,9 @@
 	unsigned members;
 	JsonNode *root;
 
-	if (!front_scan(body, &members, err))
+	if (!strict_json_check(body, FRONT_DEPTH_MAX, &members, err))
 		return NULL;
-	root = parse_json(body, err);
+	root = strict_json_parse(body, err);
 	if (!root)
 		return NULL;
 	r = request_create(kind);
--- a/packages/transport/src/front_exchange.c
+++ b/packages/transport/src/front_exchange.c
@@ -1,5 +1,7 @@
 #include "front_private.h"
 
+#include <celeryquay/base/strict_json.h>
+
 #include <string.h>
 
 #define BEARER "Bearer "
@@ -199,10 +201,10 @@
 static bool check_admin(struct front_request *fr, struct err *err)
 {
 	struct str body = to_str(fr->req->entity);
-	unsigned members;
 
 	return check_headers(fr->req, err) &&
-	       (!body.len || front_scan(body, &members, err));
+	       (!body.len ||
+		strict_json_check(body, FRONT_DEPTH_MAX, NULL, err));
 }
 
 static void hand_over_admin(struct front_request *fr)
--- a/packages/transport/src/front_private.h
+++ b/packages/transport/src/front_private.h
@@ -119,8 +119,11 @@
 void front_abandon(struct front_request *fr);
 void front_fail(struct front_request *fr, const struct err *err);
 
-/* front_scan.c */
-bool front_scan(struct str body, unsigned *members, struct err *err);
+/*
+ * Levels of nesting. A valid body has at most 5, the deepest being a parameter
+ * that is an object.
+ */
+#define FRONT_DEPTH_MAX 16
 
 /* front_plain.c */
 struct request *front_parse_plain(enum request_kind kind, bool profile,
--- a/packages/transport/src/http_json.c
+++ b/packages/transport/src/http_json.c
@@ -1,17 +1,14 @@
 #include <celeryquay/transport/http_json.h>
 
+#include <celeryquay/base/strict_json.h>
+
 #include <stdarg.h>
 
 /* The calling code owns the node. */
 JsonNode *http_json_parse(struct str body)
 {
-	JsonParser *parser = json_parser_new();
-	JsonNode *root = NULL;
+	JsonNode *root = strict_json_parse(body, NULL);
 
-	if (json_parser_load_from_data(parser, body.data, (gssize)body.len,
-				       NULL))
-		root = json_parser_steal_root(parser);
-	g_object_unref(parser);
 	if (root && !JSON_NODE_HOLDS_OBJECT(root))
 		g_clear_pointer(&root, json_node_unref);
 	return root;
--- a/packages/transport/src/store_body.c
+++ b/packages/transport/src/store_body.c
@@ -1,5 +1,7 @@
 #include "store_body.h"
 
+#include <celeryquay/base/strict_json.h>
+
 #include <string.h>
 
 /* gRPC status OUT_OF_RANGE: the requested revision has been compacted. */
@@ -114,8 +116,7 @@
 	JsonNode *root;
 
 	*parser = json_parser_new();
-	if (json_parser_load_from_data(*parser, text.data, (gssize)text.len,
-				       NULL)) {
+	if (strict_json_load(*parser, text, NULL)) {
 		root = json_parser_get_root(*parser);
 		if (root && JSON_NODE_HOLDS_OBJECT(root))
 			return json_node_get_object(root);
