relay, platform: a server that left the list may still hold commits

A replica lost the store for 5 s, went on receiving, and was the only one that had them; its entry expired. A proxy that started meanwhile promoted the other replica.

Cause: absence from the list was taken for the end of a process. A proxy that had just started counted any position that its target reached since as proof that no unknown server has more; one that had run all along took the moment at which a server left the list for the last at which it could receive, and forgot the server 5.5 s later.

Change: only a refused connection shows the end of a process. A replica that left the list and still answers is kept, asked, and may be promoted; one that does not answer is waited for until holder_wait_us after it was last heard of. Each service with sync_replicas has a roster in the store: the servers that may have commits, listed or not. A proxy that starts asks those of the roster that it does not find in the list. Without a settled roster it waits holder_wait_us from its own start. A roster from before a return of the store does not count. A server that starts anew under its id counts as one that was lost with more than it had reported.

--- a/bench/bench_relay_fleet.c
+++ b/bench/bench_relay_fleet.c
@@ -96,6 +96,14 @@
 	(void)token;
 }
 
+static void write_roster(void *ctx, const char *service,
+			 const struct relay_roster *roster)
+{
+	(void)ctx;
+	(void)service;
+	(void)roster;
+}
+
 static const struct relay_ops ops = {
 	.answer = answer,
 	.hang_up = close_id,
@@ -104,6 +112,7 @@
 	.close = close_id,
 	.claim = claim,
 	.promote = promote,
+	.write_roster = write_roster,
 };
 
 static double cpu_us(void)
--- a/packages/relay/include/celeryquay/relay/relay.h
+++ b/packages/relay/include/celeryquay/relay/relay.h
@@ -71,6 +71,26 @@
 	bool states_promotions;
 };
 
+/* A server that may have acknowledged commits. */
+struct relay_holder {
+	const char *id;
+	const char *host;
+	uint16_t port;
+};
+
+/*
+ * Who may have acknowledged commits of a service, also when they have left the
+ * list of servers. Kept in the store for services with sync_replicas.
+ */
+struct relay_roster {
+	uint64_t revision; /* 0: there is none */
+	uint64_t era; /* of the store, in which it was written */
+	/* Its writer knew of all servers that had been listed before. */
+	bool settled;
+	const struct relay_holder *servers;
+	unsigned n_servers;
+};
+
 /* What became of a request to promote. */
 enum relay_promoted {
 	RELAY_PROMOTED_ACCEPTED,
@@ -111,6 +131,12 @@
 	 */
 	void (*promote)(void *ctx, const char *service, const char *server,
 			uint64_t token);
+	/*
+	 * Writes the service's roster on condition that its revision is still
+	 * roster->revision. The store reports the new one.
+	 */
+	void (*write_roster)(void *ctx, const char *service,
+			     const struct relay_roster *roster);
 };
 
 struct relay_settings {
@@ -213,6 +239,9 @@
 struct feed_source *relay_feed_source(struct relay *r);
 void relay_on_duty(struct relay *r, const struct relay_duty *duty,
 		   uint64_t now_us);
+/* Called before the list of servers that the store had at the same time. */
+void relay_on_roster(struct relay *r, const char *service,
+		     const struct relay_roster *roster, uint64_t now_us);
 /*
  * All that the store had at this revision has been reported. Revisions count as
  * those of the duty record do.
--- a/packages/relay/src/durable.c
+++ b/packages/relay/src/durable.c
@@ -10,12 +10,18 @@
  *
  * Each acknowledged commit is on sync_replicas replicas. So the newest log of
  * those that are known has all of them if fewer than sync_replicas are unknown.
- * A server need not be known if the target has received what the primary had
- * after that server was lost, if another server has its log, or if it led a
- * term and the target follows in the newest one.
+ * A server need not be known if its process was seen to be gone and the target
+ * has received what the primary had after that, if another server has its log,
+ * or if it led a term and the target follows in the newest one.
+ *
+ * That a server is not in the list is no sign of its end: one that only lost
+ * the store goes on receiving. It is given up holder_wait_us after it was last
+ * heard of. A proxy that starts learns from the roster who left the list
+ * before; without one it takes some server for missing for that long.
  */
 #define LOG_MODULE "durable"
 #include "durable.h"
+#include "roster.h"
 #include "target.h"
 
 #include <celeryquay/base/log.h>
@@ -29,8 +35,9 @@
 	uint16_t port;
 	struct position newest; /* that it was known to have */
 	uint64_t led_term; /* of which it was the primary, 0: none */
-	uint64_t lost_at_us; /* its process was gone or unlisted, 0: never */
-	uint64_t unlisted_at_us; /* when it left the list, 0: it is listed */
+	uint64_t ended_at_us; /* its process was gone, 0: it may be running */
+	uint64_t heard_at_us; /* it was listed or answered last */
+	bool restarted; /* its process ended; another has its id */
 };
 
 static void holder_free(gpointer data)
@@ -42,14 +49,6 @@
 	g_free(h);
 }
 
-/* When its process was gone or had left the list; 0: it may be running. */
-static uint64_t lost_at_us(const struct rserver *s)
-{
-	if (s->refused && s->unlisted_at_us)
-		return MIN(s->refused_at_us, s->unlisted_at_us);
-	return s->refused ? s->refused_at_us : s->unlisted_at_us;
-}
-
 /* A view of a server, which owns the strings. */
 static struct rholder holder_view(const struct rserver *s)
 {
@@ -59,8 +58,8 @@
 		.port = s->info.port,
 		.newest = s->received_max,
 		.led_term = s->status.role == ROLE_PRIMARY ? s->status.term : 0,
-		.lost_at_us = lost_at_us(s),
-		.unlisted_at_us = s->unlisted_at_us,
+		.ended_at_us = s->refused ? s->refused_at_us : 0,
+		.heard_at_us = MAX(s->unlisted_at_us, s->heard_us),
 	};
 }
 
@@ -90,18 +89,43 @@
 	s->received_max = received;
 }
 
-/* The server left the list long ago and is removed from the service. */
-void rdurable_on_removed(const struct rserver *s)
+bool rdurable_is_holder(const struct rserver *s)
 {
-	struct rholder *h;
+	return s->service->sync_replicas && !s->listed && !s->service->peers &&
+	       rtarget_is_replica(s);
+}
+
+static struct rholder *add_missing(const struct rserver *s)
+{
+	struct rholder *h = g_new(struct rholder, 1);
 
-	if (s->service->peers)
-		return;
-	h = g_new(struct rholder, 1);
 	*h = holder_view(s);
 	h->id = g_strdup(h->id);
 	h->host = g_strdup(h->host);
 	g_ptr_array_add(s->service->missing, h);
+	return h;
+}
+
+/* The server left the list long ago and is removed from the service. */
+void rdurable_on_removed(const struct rserver *s)
+{
+	if (!s->service->peers)
+		add_missing(s);
+}
+
+/*
+ * Another process has the server's id, and may lack the log of the former one.
+ * That one may have received more than it had last reported.
+ */
+void rdurable_on_restarted(const struct rserver *s, uint64_t now_us)
+{
+	struct rholder *h;
+
+	if (!s->service->sync_replicas || s->service->peers)
+		return;
+	h = add_missing(s);
+	h->restarted = true;
+	h->ended_at_us = h->heard_at_us = now_us;
 }
 
 /* A server of that id is listed again. */
@@ -112,7 +136,7 @@
 	for (i = v->missing->len; i; i--) {
 		const struct rholder *h = v->missing->pdata[i - 1];
 
-		if (!strcmp(h->id, id))
+		if (!h->restarted && !strcmp(h->id, id))
 			g_ptr_array_remove_index_fast(v->missing, i - 1);
 	}
 }
@@ -120,7 +144,7 @@
 static bool is_given_up(const struct rservice *v, const struct rholder *h,
 			uint64_t now_us)
 {
-	return now_us >= h->unlisted_at_us + v->relay->settings.holder_wait_us;
+	return now_us >= h->heard_at_us + v->relay->settings.holder_wait_us;
 }
 
 static void log_given_up(const struct rservice *v, const struct rholder *h)
@@ -135,22 +159,6 @@
 	log_event_end(l);
 }
 
-/* Gives up servers that have been missing for holder_wait_us. */
-void rdurable_expire_missing(struct rservice *v, uint64_t now_us)
-{
-	unsigned i;
-
-	for (i = v->missing->len; i; i--) {
-		const struct rholder *h = v->missing->pdata[i - 1];
-
-		if (!is_given_up(v, h, now_us))
-			continue;
-		if (v->sync_replicas)
-			log_given_up(v, h);
-		g_ptr_array_remove_index_fast(v->missing, i - 1);
-	}
-}
-
 /* Whether another server has taken over the address and with it the log. */
 static bool is_succeeded(const struct rservice *v, const struct rholder *h)
 {
@@ -168,6 +176,37 @@
 	return false;
 }
 
+void rdurable_list_missing(const struct rservice *v, GArray *holders,
+			   uint64_t now_us)
+{
+	unsigned i;
+
+	for (i = 0; i < v->missing->len; i++) {
+		const struct rholder *h = v->missing->pdata[i];
+		struct relay_holder view = { h->id, h->host, h->port };
+
+		if (!h->restarted && !is_given_up(v, h, now_us) &&
+		    !is_succeeded(v, h))
+			g_array_append_val(holders, view);
+	}
+}
+
+/* Gives up servers that have been missing for holder_wait_us. */
+void rdurable_expire_missing(struct rservice *v, uint64_t now_us)
+{
+	unsigned i;
+
+	for (i = v->missing->len; i; i--) {
+		const struct rholder *h = v->missing->pdata[i - 1];
+
+		if (!is_given_up(v, h, now_us))
+			continue;
+		if (v->sync_replicas && !h->restarted)
+			log_given_up(v, h);
+		g_ptr_array_remove_index_fast(v->missing, i - 1);
+	}
+}
+
 /* Whether the server has received what the primary had since then. */
 static bool has_reached(const struct rservice *v, const struct rserver *s,
 			uint64_t since_us)
@@ -214,7 +253,7 @@
 		return !follows_newest_term(v, target);
 	if (position_cmp(h->newest, target->status.received) > 0)
 		return true;
-	return !h->lost_at_us || !has_reached(v, target, h->lost_at_us);
+	return !h->ended_at_us || !has_reached(v, target, h->ended_at_us);
 }
 
 /* Whether what the server has received is known and can't change any more. */
@@ -238,16 +277,6 @@
 	return may_have_more(v, &h, target);
 }
 
-/* Whether a replica that left the list before this proxy started may. */
-static bool unknown_may_have_more(const struct rservice *v,
-				  const struct rserver *target, uint64_t now_us)
-{
-	const struct relay *r = v->relay;
-
-	return now_us < r->started_us + r->settings.holder_wait_us &&
-	       !has_reached(v, target, r->started_us);
-}
-
 /*
  * Whether the target may lack acknowledged commits that another server has.
  * by: the id of that server, or empty.
@@ -280,7 +309,11 @@
 		*by = h->id;
 		n++;
 	}
-	n += unknown_may_have_more(v, target, now_us);
+	/*
+	 * What the target has received since this proxy started doesn't matter:
+	 * a replica that left the list before may have received more.
+	 */
+	n += !rroster_knows_all(v, now_us);
 	return n >= v->sync_replicas;
 }
 
--- a/packages/relay/src/registry.c
+++ b/packages/relay/src/registry.c
@@ -5,6 +5,7 @@
 #define LOG_MODULE "listed"
 #include "durable.h"
 #include "homes.h"
+#include "roster.h"
 #include "wait.h"
 
 #include <string.h>
@@ -55,6 +56,20 @@
 	return s;
 }
 
+void registry_add_unlisted(struct relay *r,
+			   const struct relay_server_info *info,
+			   uint64_t now_us)
+{
+	struct rserver *s;
+
+	if (g_hash_table_contains(r->servers, info->id))
+		return;
+	s = add_server(r, info, now_us);
+	s->listed = false;
+	s->unlisted_at_us = now_us;
+	rlog_server_event(s, "server-unlisted");
+}
+
 static void close_conns(struct rserver *s)
 {
 	struct relay *r = s->relay;
@@ -104,7 +119,7 @@
 
 	if (s->listed ||
 	    now_us < s->unlisted_at_us + r->settings.gone_after_us ||
-	    is_confirming(r, s))
+	    is_confirming(r, s) || rdurable_is_holder(s))
 		return false;
 	rlog_server_event(s, "server-gone");
 	close_conns(s);
@@ -134,8 +149,10 @@
 		if (drop_if_expired(r, value, now_us))
 			g_hash_table_iter_remove(&iter);
 	g_hash_table_iter_init(&iter, r->services);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		rdurable_expire_missing(value, now_us);
+		rroster_tick(value, now_us);
+	}
 }
 
 /* Marks the servers that the list names, and unlists the others. */
@@ -172,6 +189,8 @@
 void relay_on_servers(struct relay *r, const struct relay_server_info *infos,
 		      unsigned n_infos, uint64_t now_us)
 {
+	GHashTableIter iter;
+	gpointer value;
 	unsigned i;
 
 	r->listed = true;
@@ -190,5 +209,8 @@
 			s = add_server(r, &infos[i], now_us);
 		rserver_tick(s, now_us);
 	}
+	g_hash_table_iter_init(&iter, r->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		rroster_on_listed(value, now_us);
 	rwait_dispatch(r, now_us);
 }
--- a/packages/relay/src/relay.c
+++ b/packages/relay/src/relay.c
@@ -314,6 +314,7 @@
 void relay_on_store_era(struct relay *r, uint64_t era, bool returned,
 			uint64_t now_us)
 {
+	r->store_era = MAX(r->store_era, era);
 	rmetrics_store_era(r, era, returned);
 	if (returned) {
 		log_returned(r, era, now_us);
--- a/packages/relay/src/relay_internal.h
+++ b/packages/relay/src/relay_internal.h
@@ -8,7 +8,8 @@
  * server that runs it, rprimary_ who is primary and for how long that is
  * certain, rtrust_ which replicas' confirmations of that are trusted,
  * rfailover_ failover, the replacement of a primary, rtarget_ who may be
- * promoted, rdurable_ whether it has all that was acknowledged, rfence_ the
+ * promoted, rdurable_ whether it has all that was acknowledged, rroster_ who
+ * may have that, rfence_ the
  * fence, rduty_ the duty record, rpending_ promotions that may still take
  * effect, rcleanup_ cleanup after failovers, rpartition_
  * network partitions, peers_ other proxies, role_ roles, rank_ ranks, via_
@@ -41,6 +42,7 @@
 struct rsession;
 struct rlimit;
 struct rpending;
+struct rroster;
 struct rsched;
 struct sconn_usage;
 
@@ -251,6 +253,7 @@
 	GPtrArray *servers; /* struct rserver */
 	/* Servers that were removed lately, struct rholder; see durable.c */
 	GPtrArray *missing;
+	struct rroster *roster;
 	bool had_several_servers; /* it once had several servers at once */
 
 	struct rserver *primary; /* NULL: not known */
@@ -464,6 +467,7 @@
 	/* All that the store had at this revision has been reported. */
 	uint64_t known_revision;
 	unsigned n_server_lists; /* lists of servers received so far */
+	uint64_t store_era; /* the newest era of the store that was read */
 	bool store_lost; /* the store does not answer */
 	bool listed; /* a list of servers has been received */
 	uint64_t started_us; /* time of relay_create() */
@@ -529,6 +533,10 @@
 struct rservice *registry_service_of_database(const struct relay *r,
 					      const char *database);
 void registry_remove_unlisted(struct relay *r, uint64_t now_us);
+/* Adds a server that is not in the list. An id that is in use is ignored. */
+void registry_add_unlisted(struct relay *r,
+			   const struct relay_server_info *info,
+			   uint64_t now_us);
 
 /* position.c */
 int position_cmp(struct position a, struct position b);
--- a/packages/relay/src/server.c
+++ b/packages/relay/src/server.c
@@ -1,6 +1,7 @@
 /* Servers: the state known of each, and the probes that keep it up to date. */
 #define LOG_MODULE "server"
 #include "durable.h"
+#include "roster.h"
 #include "scheduler.h"
 
 #include <celeryquay/sched/connections.h>
@@ -121,6 +122,7 @@
 static void on_restarted(struct rserver *s, uint64_t now_us)
 {
 	rlog_server_event(s, "server-reborn");
+	rdurable_on_restarted(s, now_us);
 	rconn_close_idle(s);
 	rsched_on_restarted(s);
 	s->refused = s->moved = s->order_pending = false;
@@ -396,7 +398,7 @@
 bool rserver_keeps_conns(const struct rserver *s, uint64_t now_us)
 {
 	return !s->moved &&
-	       (s->listed ||
+	       (s->listed || rdurable_is_holder(s) ||
 		now_us < s->unlisted_at_us + s->relay->settings.gone_after_us);
 }
 
@@ -447,6 +449,7 @@
 	v->spares = g_ptr_array_new_with_free_func(g_free);
 	v->servers = g_ptr_array_new();
 	v->missing = rdurable_missing_new();
+	v->roster = rroster_create();
 	return v;
 }
 
@@ -457,6 +460,7 @@
 
 	g_ptr_array_free(v->servers, TRUE);
 	g_ptr_array_free(v->missing, TRUE);
+	rroster_destroy(v->roster);
 	g_ptr_array_free(v->homes, TRUE);
 	g_ptr_array_free(v->spares, TRUE);
 	rsched_destroy(v->sched);
--- a/packages/relay/tests/support_group.h
+++ b/packages/relay/tests/support_group.h
@@ -133,12 +133,22 @@
 	} list[FAKE_STATED_MAX];
 };
 
+/* The record of a group's servers in the store. */
+struct fake_roster {
+	uint64_t revision;
+	uint64_t era;
+	bool settled;
+	unsigned n;
+	unsigned servers[MAX_SERVERS];
+};
+
 /* What a copy of the store holds. */
 struct fake_copy {
 	uint64_t revision;
 	uint64_t duty_revision;
 	char duty_holder[8];
 	struct fake_stated stated;
+	struct fake_roster rosters[MAX_GROUPS];
 	bool listed[MAX_SERVERS];
 };
 
@@ -206,6 +216,8 @@
 	uint64_t duty_revision; /* revision of the duty record, 0: no claim */
 	char duty_holder[8]; /* name of the relay that claimed last */
 	struct fake_stated stated; /* by the duty record */
+	struct fake_roster rosters[MAX_GROUPS];
+	unsigned n_rosters_written;
 	bool accounts; /* callers have keys; see support_accounts.c */
 	unsigned n_accounts;
 	bool limits; /* accounts have rate limits */
--- a/packages/relay/tests/support_platform.c
+++ b/packages/relay/tests/support_platform.c
@@ -389,6 +389,38 @@
 	relay_on_duty(r->relay, &duty, f->now_us);
 }
 
+static void tell_roster(struct fake *f, struct fake_relay *r, unsigned group)
+{
+	const struct fake_roster *record = &f->rosters[group];
+	struct relay_holder servers[MAX_SERVERS];
+	struct relay_roster roster = { .revision = record->revision,
+				       .era = record->era,
+				       .settled = record->settled,
+				       .servers = servers,
+				       .n_servers = record->n };
+	char *service;
+	unsigned i;
+
+	if (!record->revision)
+		return;
+	for (i = 0; i < record->n; i++)
+		servers[i] = (struct relay_holder){
+			f->servers[record->servers[i]].id, "10.0.0.1",
+			f->servers[record->servers[i]].port
+		};
+	service = g_strdup_printf("group%u", group);
+	relay_on_roster(r->relay, service, &roster, f->now_us);
+	g_free(service);
+}
+
+static void tell_rosters(struct fake *f, struct fake_relay *r)
+{
+	unsigned group;
+
+	for (group = 0; group < f->n_groups; group++)
+		tell_roster(f, r, group);
+}
+
 /* The relay learns of the store's return and reads everything again. */
 static void learn_return(struct fake *f, struct fake_relay *r)
 {
@@ -400,6 +432,7 @@
 	r->returned_at_us = f->now_us;
 	relay_on_store_era(r->relay, f->era, true, f->now_us);
 	tell_duty(f, r);
+	tell_rosters(f, r);
 	r->list_dropped = r->drop_lists;
 	if (!r->drop_lists) {
 		n = list_servers(f, r, infos);
@@ -454,6 +487,7 @@
 	g_strlcpy(f->copy.duty_holder, f->duty_holder,
 		  sizeof(f->copy.duty_holder));
 	f->copy.stated = f->stated;
+	memcpy(f->copy.rosters, f->rosters, sizeof(f->rosters));
 	for (i = 0; i < MAX_SERVERS; i++)
 		f->copy.listed[i] = f->servers[i].listed;
 }
@@ -490,6 +524,11 @@
 		f->copy.duty_revision ? in_era(f, f->copy.duty_revision) : 0;
 	g_strlcpy(f->duty_holder, f->copy.duty_holder, sizeof(f->duty_holder));
 	f->stated = f->copy.stated;
+	memcpy(f->rosters, f->copy.rosters, sizeof(f->rosters));
+	for (i = 0; i < f->n_groups; i++)
+		if (f->rosters[i].revision)
+			f->rosters[i].revision =
+				in_era(f, f->rosters[i].revision);
 	for (i = 0; i < f->n_servers; i++)
 		restore_server(f, &f->servers[i]);
 	for (i = 0; i < f->n_relays; i++) {
@@ -513,6 +552,69 @@
 	send_revision(&f->relays[call->relay], call->revision);
 }
 
+/* The rosters are read with the rest of the store's contents. */
+static void roster_event(struct fake *f, void *data)
+{
+	const struct call *call = data;
+
+	if (f->relays[call->relay].deaf || !is_current_process(f, call) ||
+	    !check_era(f, &f->relays[call->relay], f->era))
+		return;
+	tell_rosters(f, &f->relays[call->relay]);
+}
+
+static void send_rosters(struct fake *f)
+{
+	struct call call = { 0 };
+
+	for (; call.relay < f->n_relays; call.relay++) {
+		call.life = f->relays[call.relay].life;
+		fake_at(f, (int)call.relay, fake_random(f, 2 * MS, 10 * MS),
+			roster_event, g_memdup2(&call, sizeof(call)), g_free);
+	}
+}
+
+struct roster_write {
+	unsigned group;
+	uint64_t expected;
+	struct fake_roster roster;
+};
+
+static void roster_written_event(struct fake *f, void *data)
+{
+	const struct roster_write *w = data;
+	struct fake_roster *roster = &f->rosters[w->group];
+
+	if (w->expected != roster->revision || w->roster.era != f->era)
+		return;
+	*roster = w->roster;
+	f->revision += fake_random(f, 1, 4);
+	roster->revision = f->revision;
+	f->n_rosters_written++;
+	send_rosters(f);
+}
+
+static void on_write_roster(void *ctx, const char *service,
+			    const struct relay_roster *roster)
+{
+	struct fake_relay *r = ctx;
+	struct fake *f = r->fake;
+	struct roster_write w = { .expected = roster->revision,
+				  .roster.era = roster->era,
+				  .roster.settled = roster->settled };
+	unsigned i, k;
+
+	if (r->deaf)
+		return;
+	w.group = (unsigned)(service[strlen("group")] - '0');
+	for (i = 0; i < roster->n_servers; i++)
+		for (k = 0; k < f->n_servers; k++)
+			if (!strcmp(f->servers[k].id, roster->servers[i].id))
+				w.roster.servers[w.roster.n++] = k;
+	fake_at(f, -1, 2 * MS, roster_written_event, g_memdup2(&w, sizeof(w)),
+		g_free);
+}
+
 static void send_duty(struct fake *f)
 {
 	struct call call = { .revision = f->duty_revision };
@@ -860,7 +962,8 @@
 					      .send = fake_send,
 					      .close = fake_close,
 					      .claim = on_claim,
-					      .promote = on_promote };
+					      .promote = on_promote,
+					      .write_roster = on_write_roster };
 	struct fake *f = r->fake;
 	struct relay_settings settings;
 
@@ -878,6 +981,7 @@
 	r->relay = relay_create(&settings, &ops, r, r->counters, f->rng,
 				f->now_us);
 	relay_on_catalog(r->relay, catalog, f->now_us);
+	relay_on_store_era(r->relay, f->era, false, f->now_us);
 }
 
 static void create_relay(struct fake *f, unsigned index,
@@ -903,6 +1007,8 @@
 	send_list(f, r);
 	fake_at(f, (int)r->index, 3 * MS, duty_event,
 		g_memdup2(&call, sizeof(call)), g_free);
+	fake_at(f, (int)r->index, 3 * MS, roster_event,
+		g_memdup2(&call, sizeof(call)), g_free);
 }
 
 /* Restores the relay's connection to the store, or cuts it off. */
--- a/packages/relay/tests/test_sync_replicas.c
+++ b/packages/relay/tests/test_sync_replicas.c
@@ -17,6 +17,8 @@
 #define OUTAGE_MAX_MS 11000
 /* Until writes succeed again once the faults have ended. */
 #define RECOVERY_US (12 * USEC_PER_SEC)
+/* A proxy that starts waits for that long for servers that it can't know. */
+#define START_WAIT_US (10 * USEC_PER_SEC)
 /* Acknowledged in a second by three callers; about 300 without a fault. */
 #define ACKNOWLEDGED_MIN 50
 
@@ -53,7 +55,7 @@
 
 	memset(writers, 0, sizeof(writers));
 	f->promote_duration_us = 300 * MS + seed % 8 * 100 * MS;
-	fake_run(f, USEC_PER_SEC);
+	fake_run(f, START_WAIT_US + USEC_PER_SEC);
 	open_writers(f);
 	fake_run(f, fake_random(f, 500, 1500) * MS);
 	return f;
@@ -315,6 +317,194 @@
 	fake_run(f, 6 * USEC_PER_SEC);
 }
 
+/* The replica goes on receiving, but its entry expires. */
+static void lose_the_store(struct fake *f, unsigned server)
+{
+	f->servers[server].without_store = true;
+	f->servers[server].listed = false;
+	fake_publish_lists(f);
+}
+
+static void reach_the_store(struct fake *f, unsigned server)
+{
+	f->servers[server].without_store = false;
+	f->servers[server].listed = true;
+	fake_publish_lists(f);
+}
+
+/* The other replica is behind by up to half of that. */
+static void fall_behind(struct fake *f, unsigned server)
+{
+	f->servers[server].lag_us = fake_random(f, 100, 400) * MS;
+}
+
+static void restart_relays(struct fake *f, unsigned gap_from_ms,
+			   unsigned gap_to_ms)
+{
+	unsigned i;
+
+	for (i = 0; i < RELAYS; i++) {
+		fake_restart_relay(f, i);
+		if (gap_to_ms)
+			run_for(f, gap_from_ms, gap_to_ms);
+		open_writers(f);
+	}
+}
+
+/* Proxies start one after the other and don't know the replica. */
+static void unlisted_holder_and_new_relays(struct fake *f)
+{
+	fall_behind(f, BEHIND);
+	lose_the_store(f, HOLDER);
+	restart_relays(f, 300, 1000);
+	run_for(f, 0, 1000);
+	crash_for_a_while(f, PRIMARY);
+	run_for(f, 300, 3000);
+	reach_the_store(f, HOLDER);
+	fake_run(f, 12 * USEC_PER_SEC);
+}
+
+/* All proxies start at once. */
+static void unlisted_holder_and_killed_relays(struct fake *f)
+{
+	fall_behind(f, BEHIND);
+	lose_the_store(f, HOLDER);
+	run_for(f, 0, 1000);
+	restart_relays(f, 0, 0);
+	run_for(f, 500, 4000);
+	crash_for_a_while(f, PRIMARY);
+	run_for(f, 300, 1500);
+	reach_the_store(f, HOLDER);
+	fake_run(f, 14 * USEC_PER_SEC);
+}
+
+/* One proxy is new and may be the first to act; the others know. */
+static void unlisted_holder_and_an_added_relay(struct fake *f)
+{
+	fall_behind(f, BEHIND);
+	lose_the_store(f, HOLDER);
+	run_for(f, 0, 4000);
+	fake_restart_relay(f, (unsigned)fake_random(f, 0, RELAYS));
+	open_writers(f);
+	run_for(f, 300, 2000);
+	crash_for_a_while(f, PRIMARY);
+	run_for(f, 300, 3000);
+	reach_the_store(f, HOLDER);
+	fake_run(f, 12 * USEC_PER_SEC);
+}
+
+/* It stays without the store for longer than proxies keep what they know. */
+static void long_unlisted_holder(struct fake *f)
+{
+	fall_behind(f, BEHIND);
+	lose_the_store(f, HOLDER);
+	run_for(f, 4000, 20000);
+	crash_for_a_while(f, PRIMARY);
+	run_for(f, 300, 3000);
+	reach_the_store(f, HOLDER);
+	fake_run(f, 12 * USEC_PER_SEC);
+}
+
+/* The same, and proxies start meanwhile. */
+static void long_unlisted_holder_and_new_relays(struct fake *f)
+{
+	fall_behind(f, BEHIND);
+	lose_the_store(f, HOLDER);
+	run_for(f, 2000, 15000);
+	restart_relays(f, 0, 1000);
+	run_for(f, 500, 12000);
+	crash_for_a_while(f, PRIMARY);
+	run_for(f, 300, 3000);
+	reach_the_store(f, HOLDER);
+	fake_run(f, 12 * USEC_PER_SEC);
+}
+
+/* Some proxies can't reach it either. */
+static void unlisted_and_unreachable_holder(struct fake *f)
+{
+	unsigned i;
+
+	fall_behind(f, BEHIND);
+	for (i = 0; i < RELAYS; i++)
+		if (fake_chance(f, 0.6))
+			fake_cut(f, i, HOLDER, true);
+	lose_the_store(f, HOLDER);
+	run_for(f, 1000, 6000);
+	crash_for_a_while(f, PRIMARY);
+	run_for(f, 300, 2500);
+	memset(f->cut, 0, sizeof(f->cut));
+	reach_the_store(f, HOLDER);
+	fake_run(f, 12 * USEC_PER_SEC);
+}
+
+static void holder_unlisted_twice(struct fake *f)
+{
+	fall_behind(f, BEHIND);
+	lose_the_store(f, HOLDER);
+	run_for(f, 500, 7000);
+	reach_the_store(f, HOLDER);
+	run_for(f, 0, 1500);
+	lose_the_store(f, HOLDER);
+	run_for(f, 0, 3000);
+	if (fake_chance(f, 0.5))
+		restart_relays(f, 100, 500);
+	crash_for_a_while(f, PRIMARY);
+	run_for(f, 300, 3000);
+	reach_the_store(f, HOLDER);
+	fake_run(f, 12 * USEC_PER_SEC);
+}
+
+/* The store comes back from a copy that lacks the replica's entry. */
+static void store_forgets_the_holder(struct fake *f)
+{
+	fall_behind(f, BEHIND);
+	f->servers[HOLDER].listed = false;
+	fake_copy_store(f);
+	f->servers[HOLDER].listed = true;
+	f->servers[HOLDER].without_store = true;
+	run_for(f, 100, 1000);
+	fake_restore_store(f);
+	run_for(f, 0, 4000);
+	if (fake_chance(f, 0.5))
+		restart_relays(f, 100, 500);
+	crash_for_a_while(f, PRIMARY);
+	run_for(f, 300, 3000);
+	reach_the_store(f, HOLDER);
+	fake_run(f, 14 * USEC_PER_SEC);
+}
+
+/* It ends, and a new server has its log at its address. */
+static void unlisted_holder_is_succeeded(struct fake *f)
+{
+	fall_behind(f, BEHIND);
+	lose_the_store(f, HOLDER);
+	run_for(f, 500, 3000);
+	if (fake_chance(f, 0.5))
+		restart_relays(f, 100, 400);
+	fake_crash(f, HOLDER);
+	run_for(f, 0, 600);
+	fake_rejoin_with_new_id(f, HOLDER);
+	run_for(f, 0, 600);
+	crash_for_a_while(f, PRIMARY);
+	fake_run(f, 14 * USEC_PER_SEC);
+}
+
+/* The primary is cut off from the proxies, and does not crash. */
+static void primary_is_cut_off(struct fake *f)
+{
+	unsigned i;
+
+	fall_behind(f, BEHIND);
+	lose_the_store(f, HOLDER);
+	restart_relays(f, 100, 600);
+	for (i = 0; i < RELAYS; i++)
+		fake_cut(f, i, PRIMARY, true);
+	run_for(f, 1000, 4000);
+	memset(f->cut, 0, sizeof(f->cut));
+	reach_the_store(f, HOLDER);
+	fake_run(f, 14 * USEC_PER_SEC);
+}
+
 static void connections_event(struct fake *f, void *data)
 {
 	f->max_connections = GPOINTER_TO_UINT(data);
@@ -407,6 +597,17 @@
 	{ "long outage", long_outage },
 	{ "newcomer confirms", newcomer_confirms },
 	{ "full servers", full_servers },
+	{ "unlisted holder, new relays", unlisted_holder_and_new_relays },
+	{ "unlisted holder, killed relays", unlisted_holder_and_killed_relays },
+	{ "unlisted holder, added relay", unlisted_holder_and_an_added_relay },
+	{ "long unlisted holder", long_unlisted_holder },
+	{ "long unlisted holder, new relays",
+	  long_unlisted_holder_and_new_relays },
+	{ "unreachable unlisted holder", unlisted_and_unreachable_holder },
+	{ "holder unlisted twice", holder_unlisted_twice },
+	{ "store forgets the holder", store_forgets_the_holder },
+	{ "unlisted holder is succeeded", unlisted_holder_is_succeeded },
+	{ "primary is cut off", primary_is_cut_off },
 	{ "drawn faults", drawn_faults },
 };
 
@@ -544,6 +745,140 @@
 }
 END_TEST
 
+/* Guards against a wait for replicas where no commit waits for them. */
+START_TEST(test_new_relays_without_sync_replicas_do_not_wait)
+{
+	struct fake *f = start_with((uint32_t)_i, 0);
+
+	restart_relays(f, 0, 0);
+	fake_run(f, USEC_PER_SEC);
+	fake_crash(f, PRIMARY);
+	fake_run(f, FAILOVER_MAX_US);
+	ck_assert_uint_eq(f->n_promotions, 1);
+	fake_destroy(f);
+}
+END_TEST
+
+/* Guards against a wait for a replica that left for good long ago. */
+START_TEST(test_replica_lost_long_ago_is_not_awaited)
+{
+	struct fake *f = start((uint32_t)_i);
+
+	fake_crash(f, HOLDER);
+	fake_run(f, GIVEN_UP_US);
+	fake_crash(f, PRIMARY);
+	fake_run(f, FAILOVER_MAX_US);
+	ck_assert_uint_eq(f->n_promotions, 1);
+	fake_destroy(f);
+}
+END_TEST
+
+/* Guards against a planned change that waits though the log is at hand. */
+START_TEST(test_planned_change_after_a_restart_does_not_wait)
+{
+	struct fake *f = start((uint32_t)_i);
+
+	restart_relays(f, 0, 0);
+	fake_run(f, USEC_PER_SEC);
+	leave(f, PRIMARY, 9 * USEC_PER_SEC);
+	fake_run(f, FAILOVER_MAX_US);
+	ck_assert_uint_eq(f->n_promotions, 1);
+	fake_destroy(f);
+}
+END_TEST
+
+/* Guards against a wait for servers that the roster shows not to exist. */
+START_TEST(test_crash_after_a_restart_is_answered)
+{
+	struct fake *f = start((uint32_t)_i);
+
+	restart_relays(f, 0, 0);
+	fake_run(f, USEC_PER_SEC);
+	fake_crash(f, PRIMARY);
+	fake_run(f, FAILOVER_MAX_US);
+	ck_assert_uint_eq(f->n_promotions, 1);
+	fake_destroy(f);
+}
+END_TEST
+
+/* Guards against a wait without a roster that does not end. */
+START_TEST(test_wait_without_a_roster_ends)
+{
+	struct fake *f = start((uint32_t)_i);
+
+	memset(f->rosters, 0, sizeof(f->rosters));
+	restart_relays(f, 0, 0);
+	fake_crash(f, PRIMARY);
+	fake_run(f, START_WAIT_US - USEC_PER_SEC);
+	ck_assert_uint_eq(f->n_promotions, 0);
+	fake_run(f, GIVEN_UP_US - START_WAIT_US);
+	ck_assert_uint_eq(f->n_promotions, 1);
+	fake_destroy(f);
+}
+END_TEST
+
+static bool is_in_roster(const struct fake *f, unsigned server)
+{
+	const struct fake_roster *roster = &f->rosters[0];
+	unsigned i;
+
+	for (i = 0; i < roster->n; i++)
+		if (roster->servers[i] == server)
+			return true;
+	return false;
+}
+
+/* Until a server that ended is taken out of the roster. */
+#define ROSTER_UPDATE_US (75 * USEC_PER_SEC)
+
+/* Guards against a roster that lacks a server, or keeps those of all time. */
+START_TEST(test_roster_follows_the_servers)
+{
+	struct fake *f = start((uint32_t)_i);
+	unsigned added;
+
+	ck_assert(is_in_roster(f, PRIMARY) && is_in_roster(f, HOLDER) &&
+		  is_in_roster(f, BEHIND));
+	ck_assert_uint_le(f->n_rosters_written, 3);
+	added = fake_add_replica(f, 0);
+	fake_run(f, USEC_PER_SEC);
+	ck_assert(is_in_roster(f, added));
+	lose_the_store(f, HOLDER);
+	fake_leave(f, BEHIND, 100 * MS);
+	fake_run(f, ROSTER_UPDATE_US);
+	ck_assert(is_in_roster(f, HOLDER));
+	ck_assert(!is_in_roster(f, BEHIND));
+	ck_assert_uint_le(f->n_rosters_written, 7);
+	fake_destroy(f);
+}
+END_TEST
+
+/* Guards against trust in a roster from before the store's return. */
+START_TEST(test_roster_is_written_again_after_a_return)
+{
+	struct fake *f = start((uint32_t)_i);
+
+	fake_copy_store(f);
+	fake_restore_store(f);
+	ck_assert(f->rosters[0].era != f->era);
+	fake_run(f, 2 * USEC_PER_SEC);
+	ck_assert(f->rosters[0].era == f->era);
+	ck_assert_uint_eq(f->rosters[0].n, GROUP_SIZE);
+	fake_destroy(f);
+}
+END_TEST
+
+/* Guards against calls of the store for services that need no roster. */
+START_TEST(test_no_roster_without_sync_replicas)
+{
+	struct fake *f = start_with((uint32_t)_i, 0);
+
+	fake_run(f, USEC_PER_SEC);
+	ck_assert_uint_eq(f->n_rosters_written, 0);
+	fake_destroy(f);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("sync_replicas");
@@ -557,5 +892,17 @@
 			    4);
 	tcase_add_loop_test(tc, test_lost_holder_is_given_up, 0, 4);
 	tcase_add_loop_test(tc, test_operator_gives_up_durability, 0, 4);
+	tcase_add_loop_test(
+		tc, test_new_relays_without_sync_replicas_do_not_wait, 0, 4);
+	tcase_add_loop_test(tc, test_replica_lost_long_ago_is_not_awaited, 0,
+			    4);
+	tcase_add_loop_test(
+		tc, test_planned_change_after_a_restart_does_not_wait, 0, 4);
+	tcase_add_loop_test(tc, test_crash_after_a_restart_is_answered, 0, 4);
+	tcase_add_loop_test(tc, test_wait_without_a_roster_ends, 0, 4);
+	tcase_add_loop_test(tc, test_roster_follows_the_servers, 0, 4);
+	tcase_add_loop_test(tc, test_roster_is_written_again_after_a_return, 0,
+			    4);
+	tcase_add_loop_test(tc, test_no_roster_without_sync_replicas, 0, 2);
 	return suite_main("sync_replicas", tc);
 }
