transport, relay, platform: what is given up is not delivered

Two servers could lead one after the other without a fence between them.

Cause: a call that timed out was closed in the ordinary way, which leaves it to the system to deliver what the other end has not received. Its token was checked before the connection was opened, not when the request was sent. The same holds for claims, rosters, the proxy's own entry, and the orders on connections to servers: an order that ends a pause carries no term, and one that is delivered late ends a pause made since.

Change: calls that are made once set SO_LINGER to 0 and TCP_USER_TIMEOUT when their socket is made, so that each end drops what is under way: give-up, cancel, crash, SIGKILL, the end of a stop; a stopped process is covered by the timeout. Whether the token is still valid is asked once the connection is open. A call is given up when its proxy sees another's claim, and no second call with another token is made beside one that has no answer. A call that was never sent counts as refused.

--- a/bench/bench_relay_fleet.c
+++ b/bench/bench_relay_fleet.c
@@ -96,6 +96,12 @@
 	(void)token;
 }
 
+static void cancel_promotions(void *ctx, const char *service)
+{
+	(void)ctx;
+	(void)service;
+}
+
 static void write_roster(void *ctx, const char *service,
 			 const struct relay_roster *roster)
 {
@@ -112,6 +118,7 @@
 	.close = close_id,
 	.claim = claim,
 	.promote = promote,
+	.cancel_promotions = cancel_promotions,
 	.write_roster = write_roster,
 };
 
--- a/packages/relay/include/celeryquay/relay/relay.h
+++ b/packages/relay/include/celeryquay/relay/relay.h
@@ -131,6 +131,11 @@
 	 */
 	void (*promote)(void *ctx, const char *service, const char *server,
 			uint64_t token);
+	/*
+	 * Gives up the requests to promote a server of that service which have
+	 * no answer. None of them is answered any more.
+	 */
+	void (*cancel_promotions)(void *ctx, const char *service);
 	/*
 	 * Writes the service's roster on condition that its revision is still
 	 * roster->revision. The store reports the new one.
@@ -269,6 +274,13 @@
 void relay_on_promoted(struct relay *r, const char *service, uint64_t token,
 		       enum relay_promoted outcome, uint64_t now_us);
 
+/*
+ * Whether a request to promote may still be sent with the token. To be asked
+ * just before it is: connecting takes time, and the VM may have been suspended.
+ */
+bool relay_may_send_promotion(const struct relay *r, uint64_t token,
+			      uint64_t now_us);
+
 /* Sessions of callers. The driver chooses the sessions' ids. */
 
 /*
--- a/packages/relay/src/failover.c
+++ b/packages/relay/src/failover.c
@@ -469,6 +469,9 @@
 		claim_again(v, now_us);
 		return;
 	}
+	/* The platform might get that one after this one's higher token. */
+	if (rpending_is_call_open(r->pending, r->token))
+		return;
 	v->target = best;
 	rpending_on_sent(r->pending, v->name, best->info.id, r->token, now_us);
 	counter_add(r->n_promotions, 1);
@@ -532,6 +535,18 @@
 	abort_change(v, "the target does not lead", now_us);
 }
 
+static void cancel_promotion(struct rservice *v)
+{
+	rpending_on_cancelled(v->relay->pending, v->name);
+	v->relay->ops->cancel_promotions(v->relay->ctx, v->name);
+}
+
+static void on_promotion_timed_out(struct rservice *v, uint64_t now_us)
+{
+	cancel_promotion(v);
+	rfailover_on_promoted(v, RELAY_PROMOTED_UNKNOWN, now_us);
+}
+
 /* Runs the state machine. */
 void rfailover_tick(struct rservice *v, uint64_t now_us)
 {
@@ -559,8 +574,7 @@
 	case PHASE_PROMOTE:
 		rfence_pause_others(v, now_us);
 		if (now_us > v->phase_started_at_us + PROMOTE_TIMEOUT_US)
-			rfailover_on_promoted(v, RELAY_PROMOTED_UNKNOWN,
-					      now_us);
+			on_promotion_timed_out(v, now_us);
 		break;
 	case PHASE_AWAIT_PRIMARY:
 		settle(v, now_us);
@@ -600,6 +614,22 @@
 	}
 }
 
+void rfailover_on_duty_lost(struct relay *r, uint64_t now_us)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, r->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct rservice *v = value;
+
+		if (v->phase != PHASE_PROMOTE)
+			continue;
+		cancel_promotion(v);
+		abort_change(v, "another has the duty", now_us);
+	}
+}
+
 /* Handles the platform's answer to the promotion, or the lack of one. */
 void rfailover_on_promoted(struct rservice *v, enum relay_promoted outcome,
 			   uint64_t now_us)
--- a/packages/relay/src/pending.c
+++ b/packages/relay/src/pending.c
@@ -55,6 +55,7 @@
 	uint64_t seen_at_us; /* when this proxy first saw that claim */
 	bool own; /* stated by this process */
 	uint64_t token; /* that this process sent it with, 0: it hasn't */
+	bool answered; /* or given up */
 	enum state state;
 };
 
@@ -243,6 +244,7 @@
 	if (!e)
 		e = add(p, &promotion, now_us);
 	e->own = true;
+	e->answered = false;
 	e->state = PENDING;
 	e->token = token;
 }
@@ -284,6 +286,7 @@
 
 	if (!e)
 		return false;
+	e->answered = true;
 	if (e->state == PENDING && outcome == RELAY_PROMOTED_ACCEPTED)
 		e->state = ACCEPTED;
 	else if (e->state == PENDING && outcome == RELAY_PROMOTED_REFUSED)
@@ -291,6 +294,28 @@
 	return e == newest_sent(p, service);
 }
 
+void rpending_on_cancelled(struct rpending *p, const char *service)
+{
+	unsigned i;
+
+	for (i = 0; i < p->entries->len; i++)
+		if (!strcmp(entry_at(p, i)->service, service))
+			entry_at(p, i)->answered = true;
+}
+
+bool rpending_is_call_open(const struct rpending *p, uint64_t token)
+{
+	unsigned i;
+
+	for (i = 0; i < p->entries->len; i++) {
+		const struct entry *e = entry_at(p, i);
+
+		if (e->token && e->token != token && !e->answered)
+			return true;
+	}
+	return false;
+}
+
 void rpending_on_not_settled(struct rpending *p, const char *service)
 {
 	struct entry *e = newest_sent(p, service);
--- a/packages/relay/src/relay.c
+++ b/packages/relay/src/relay.c
@@ -251,6 +251,8 @@
 		return;
 	r->duty_others_seen_at_us = now_us;
 	r->duty_others_claimed_at_us = is_first ? 0 : now_us;
+	if (r->guards.fresh_claim)
+		rfailover_on_duty_lost(r, now_us);
 }
 
 /*
@@ -410,6 +412,13 @@
 	rfailover_tick(v, now_us);
 }
 
+bool relay_may_send_promotion(const struct relay *r, uint64_t token,
+			      uint64_t now_us)
+{
+	return !r->guards.fresh_claim ||
+	       (token == r->token && rduty_is_claim_valid(r, now_us));
+}
+
 static void tick_sessions(struct relay *r, uint64_t now_us)
 {
 	GPtrArray *list = g_ptr_array_new();
--- a/packages/relay/src/relay_internal.h
+++ b/packages/relay/src/relay_internal.h
@@ -749,6 +749,8 @@
 void rfailover_tick(struct rservice *v, uint64_t now_us);
 void rfailover_on_claimed(struct relay *r, enum relay_claim outcome,
 			  uint64_t now_us);
+/* Another proxy has claimed the duty while a promotion was requested. */
+void rfailover_on_duty_lost(struct relay *r, uint64_t now_us);
 void rfailover_on_promoted(struct rservice *v, enum relay_promoted outcome,
 			   uint64_t now_us);
 void rfailover_on_status(struct rserver *s, uint64_t now_us);
--- a/packages/relay/tests/support_group.h
+++ b/packages/relay/tests/support_group.h
@@ -41,6 +41,8 @@
 	unsigned n_lists_in_flight; /* lists in flight to it */
 	bool list_dropped; /* the newest list to arrive was dropped */
 	uint64_t list_revision; /* store revision of the newest list received */
+	/* Times that it gave up promotion calls of the group. */
+	unsigned n_cancelled[MAX_GROUPS];
 	unsigned life; /* process number; events for others are dropped */
 	uint64_t known; /* newest store revision that it was told */
 	bool had[MAX_SERVERS]; /* servers of the newest list received */
@@ -196,6 +198,9 @@
 	uint64_t
 		promote_call_delay_us; /* additional delay of promotion calls */
 	bool takes_any_token; /* the platform does not check tokens */
+	/* Calls are lost if their sender gives them up before they arrive. */
+	bool drops_given_up;
+	bool checks_arrivals; /* a call with a lower token is a violation */
 	bool refuses_promotions; /* the platform refuses all calls */
 	uint64_t promote_duration_us; /* from the call until a promotion takes
 					 effect */
--- a/packages/relay/tests/support_platform.c
+++ b/packages/relay/tests/support_platform.c
@@ -31,6 +31,8 @@
 	enum relay_claim outcome; /* of a claim */
 	unsigned server; /* to promote */
 	uint64_t sent_at_us; /* of a promotion */
+	uint64_t delay_us; /* until the platform has it */
+	unsigned n_cancelled; /* by its relay when the promotion was sent */
 	bool accepted; /* promotion: carried out; claim: its reply arrives */
 	struct fake_stated stated; /* by a claim */
 };
@@ -238,11 +240,20 @@
 	return call->life == f->relays[call->relay].life;
 }
 
+/* Whether the process that made the call ended, or gave the call up. */
+static bool is_abandoned(const struct fake *f, const struct call *call)
+{
+	return !is_current_process(f, call) ||
+	       call->n_cancelled !=
+		       f->relays[call->relay]
+			       .n_cancelled[f->servers[call->server].group];
+}
+
 static void promote_reply_event(struct fake *f, void *data)
 {
 	const struct call *call = data;
 
-	if (!is_current_process(f, call))
+	if (is_abandoned(f, call))
 		return;
 	relay_on_promoted(f->relays[call->relay].relay,
 			  f->servers[call->server].service, call->number,
@@ -260,6 +271,12 @@
 	struct call *call = data;
 	struct fake_server *s = &f->servers[call->server];
 
+	if (f->drops_given_up && is_abandoned(f, call))
+		return;
+	if (f->checks_arrivals && call->number < f->platform_token)
+		hist_violation(f, "the platform gets token %u after %u",
+			       (unsigned)call->number,
+			       (unsigned)f->platform_token);
 	call->accepted =
 		!s->down && !f->refuses_promotions &&
 		(f->takes_any_token || call->number >= f->platform_token);
@@ -289,6 +306,26 @@
 	f->last_token_relay = call->relay;
 }
 
+/* The relay may have been suspended since it asked for the promotion. */
+static void connected_event(struct fake *f, void *data)
+{
+	struct call *call = data;
+	struct fake_relay *r = &f->relays[call->relay];
+
+	if (is_abandoned(f, call))
+		return;
+	if (!relay_may_send_promotion(r->relay, call->number, f->now_us)) {
+		promote_reply_event(f, data);
+		return;
+	}
+	note_token(f, call);
+	call->sent_at_us = f->now_us;
+	f->named[f->servers[call->server].group] =
+		(struct fake_named){ call->server, call->sent_at_us };
+	fake_at(f, -1, call->delay_us, promote_event,
+		g_memdup2(call, sizeof(*call)), g_free);
+}
+
 static void on_promote(void *ctx, const char *service, const char *server,
 		       uint64_t token)
 {
@@ -300,12 +337,18 @@
 	(void)service;
 	while (strcmp(r->fake->servers[call.server].id, server))
 		call.server++;
-	note_token(r->fake, &call);
-	call.sent_at_us = r->fake->now_us;
-	r->fake->named[r->fake->servers[call.server].group] =
-		(struct fake_named){ call.server, call.sent_at_us };
-	fake_at(r->fake, -1, 2 * MS + r->fake->promote_call_delay_us,
-		promote_event, g_memdup2(&call, sizeof(call)), g_free);
+	call.n_cancelled = r->n_cancelled[r->fake->servers[call.server].group];
+	call.delay_us = 2 * MS + r->fake->promote_call_delay_us;
+	fake_at(r->fake, (int)r->index, MS, connected_event,
+		g_memdup2(&call, sizeof(call)), g_free);
+}
+
+/* The platform may have the calls, but nobody waits for the answers. */
+static void on_cancel(void *ctx, const char *service)
+{
+	struct fake_relay *r = ctx;
+
+	r->n_cancelled[service[strlen("group")] - '0']++;
 }
 
 /* Tells the relay a revision, unless a list is in flight or was dropped. */
@@ -963,6 +1006,7 @@
 					      .close = fake_close,
 					      .claim = on_claim,
 					      .promote = on_promote,
+					      .cancel_promotions = on_cancel,
 					      .write_roster = on_write_roster };
 	struct fake *f = r->fake;
 	struct relay_settings settings;
--- a/packages/relay/tests/test_pending.c
+++ b/packages/relay/tests/test_pending.c
@@ -32,6 +32,7 @@
 	fake_crash(f, PRIMARY);
 	sender = scenario_run_until(f, PHASE_PROMOTE);
 	ck_assert_int_ge(sender, 0);
+	fake_run(f, 3 * MS);
 	f->promote_call_delay_us = 0;
 	return (unsigned)sender;
 }
@@ -411,6 +412,78 @@
 }
 END_TEST
 
+static bool delivers_given_up;
+
+/*
+ * The call is held up on its way, and its sender is suspended until another
+ * proxy has claimed the duty.
+ */
+static char *held_call_of_a_suspended_sender(uint32_t seed)
+{
+	struct fake *f = scenario_start(seed, USEC_PER_SEC);
+	unsigned sender;
+
+	f->takes_any_token = f->checks_arrivals = true;
+	f->drops_given_up = !delivers_given_up;
+	scenario_open_callers(f);
+	run_for(f, 500, 1500);
+	sender = send_late_call(f, 4500, 9000);
+	answer_again(f);
+	fake_suspend_relay(f, sender, fake_random(f, 3600, 4300) * MS);
+	fake_run(f, PATH_US);
+	return scenario_finish(f);
+}
+
+/* Guards against a call under way with a token that is not the newest. */
+START_TEST(test_call_is_given_up_for_a_newer_token)
+{
+	scenario_check_guarantees(held_call_of_a_suspended_sender);
+}
+END_TEST
+
+/* Guards against a checker that misses a call which is delivered after that. */
+START_TEST(test_checker_finds_a_lower_token)
+{
+	bool noticed = false;
+	uint32_t seed;
+
+	delivers_given_up = true;
+	for (seed = 0; seed < SEEDS && !noticed; seed++) {
+		char *text = held_call_of_a_suspended_sender(seed);
+
+		noticed = *text;
+		g_free(text);
+	}
+	delivers_given_up = false;
+	ck_assert(noticed);
+}
+END_TEST
+
+/* Guards against two calls under way whose tokens may arrive in any order. */
+START_TEST(test_calls_are_made_one_token_at_a_time)
+{
+	struct fake *f = fake_create((uint32_t)_i, RELAYS, MAX_GROUPS);
+	unsigned group;
+
+	f->takes_any_token = f->checks_arrivals = true;
+	f->drops_given_up = true;
+	fake_run(f, USEC_PER_SEC);
+	fake_crash(f, 0);
+	fake_run(f, fake_random(f, 0, 300) * MS);
+	fake_crash(f, GROUP_SIZE);
+	while (!f->named[0].at_us && !f->named[1].at_us) {
+		f->promote_call_delay_us = fake_random(f, 0, 800) * MS;
+		fake_run(f, MS);
+	}
+	f->promote_call_delay_us = 0;
+	fake_run(f, 9 * USEC_PER_SEC);
+	for (group = 0; group < MAX_GROUPS; group++)
+		ck_assert_uint_eq(f->top_term[group], 2);
+	ck_assert_str_eq(hist_check(f), "");
+	fake_destroy(f);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("pending");
@@ -421,5 +494,8 @@
 			    G_N_ELEMENTS(paths));
 	tcase_add_loop_test(tc, test_next_crash_is_not_delayed, 0, 8);
 	tcase_add_loop_test(tc, test_two_services_under_one_claim, 0, 20);
+	tcase_add_test(tc, test_call_is_given_up_for_a_newer_token);
+	tcase_add_test(tc, test_checker_finds_a_lower_token);
+	tcase_add_loop_test(tc, test_calls_are_made_one_token_at_a_time, 0, 20);
 	return suite_main("pending", tc);
 }
--- a/packages/transport/include/celeryquay/transport/http.h
+++ b/packages/transport/include/celeryquay/transport/http.h
@@ -20,10 +20,16 @@
 	 * collected and passed to done().
 	 */
 	void (*data)(void *ctx, struct str part);
+	/*
+	 * Called once the connection is open, just before the request is sent;
+	 * false ends the call. NULL: the request is always sent. It may be
+	 * called from within libcurl and must not start or cancel calls.
+	 */
+	bool (*may_send)(void *ctx);
 	/*
 	 * The call has ended and is freed after this. err->code is 0 when a
-	 * complete response with a status was received. not_sent: no server
-	 * was reached.
+	 * complete response with a status was received. not_sent: no byte of
+	 * the request was sent.
 	 */
 	void (*done)(void *ctx, const struct err *err, bool not_sent,
 		     long status, struct str body);
@@ -47,6 +53,14 @@
 	 * not run twice asks for a new connection.
 	 */
 	bool new_connection;
+	/*
+	 * An ordinary close leaves it to the system to deliver what the server
+	 * has not received yet, which may take minutes. With this it is dropped
+	 * as soon as the call ends or is cancelled, or the process ends in any
+	 * way, and after timeout_us if the process is stopped. For a call that
+	 * would do harm if it came late.
+	 */
+	bool drops_undelivered;
 };
 
 struct http *http_create(uv_loop_t *loop, struct err *err);
--- a/packages/transport/src/http.c
+++ b/packages/transport/src/http.c
@@ -2,6 +2,8 @@
 
 #include <celeryquay/core/types.h>
 #include <curl/curl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 
 /*
  * Largest response body that is collected, or part of a streamed one that waits
@@ -40,6 +42,8 @@
 	GString *received; /* body, or its part that is not delivered yet */
 	bool too_large; /* more than BODY_MAX_BYTES */
 	bool body_begun; /* some of the body has been received */
+	bool sent; /* some of the request may have been sent */
+	unsigned user_timeout_ms; /* 0: undelivered bytes are not dropped */
 	uint64_t silence_us; /* 0: no limit */
 	/* Time of the last byte of the body, or of the start of the call. */
 	uint64_t last_byte_at_us;
@@ -101,16 +105,6 @@
 	}
 }
 
-/* Whether the result means that the request has reached no server. */
-static bool is_not_sent(CURLcode code)
-{
-	return code == CURLE_COULDNT_CONNECT ||
-	       code == CURLE_COULDNT_RESOLVE_HOST ||
-	       code == CURLE_URL_MALFORMAT ||
-	       code == CURLE_UNSUPPORTED_PROTOCOL ||
-	       code == CURLE_SSL_CONNECT_ERROR;
-}
-
 static void finish(struct http_call *call, CURLcode code)
 {
 	struct err err = { 0 };
@@ -126,7 +120,7 @@
 		err_set(&err, ERR_STORE_DOWN, "%s: %s", url,
 			*call->error_text ? call->error_text :
 					    curl_easy_strerror(code));
-	call->events->done(call->ctx, &err, is_not_sent(code), status,
+	call->events->done(call->ctx, &err, !call->sent, status,
 			   str_from_gstring(call->received));
 }
 
@@ -385,6 +379,51 @@
 	return len;
 }
 
+/* Called by libcurl once the connection is open, before it sends. */
+static int on_connected(void *ctx, char *ip, char *local_ip, int port,
+			int local_port)
+{
+	struct http_call *call = ctx;
+
+	(void)ip;
+	(void)local_ip;
+	(void)port;
+	(void)local_port;
+	if (call->events->may_send && !call->events->may_send(call->ctx)) {
+		g_strlcpy(call->error_text, "the request may not be sent now",
+			  sizeof(call->error_text));
+		return CURL_PREREQFUNC_ABORT;
+	}
+	call->sent = true;
+	return CURL_PREREQFUNC_OK;
+}
+
+/* Makes each close of the socket, also by the system, an abort. */
+static int on_socket_created(void *ctx, curl_socket_t fd, curlsocktype purpose)
+{
+	const struct linger abort_on_close = { .l_onoff = 1, .l_linger = 0 };
+	const struct http_call *call = ctx;
+
+	(void)purpose;
+	if (setsockopt(fd, SOL_SOCKET, SO_LINGER, &abort_on_close,
+		       sizeof(abort_on_close)) ||
+	    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT,
+		       &call->user_timeout_ms, sizeof(call->user_timeout_ms)))
+		return CURL_SOCKOPT_ERROR;
+	return CURL_SOCKOPT_OK;
+}
+
+static void set_abort_on_close(struct http_call *call,
+			       const struct http_request *request)
+{
+	call->user_timeout_ms = (unsigned)to_ms(request->timeout_us);
+	curl_easy_setopt(call->easy, CURLOPT_SOCKOPTFUNCTION,
+			 on_socket_created);
+	curl_easy_setopt(call->easy, CURLOPT_SOCKOPTDATA, call);
+	/* Another call that reused the connection would be aborted as well. */
+	curl_easy_setopt(call->easy, CURLOPT_FORBID_REUSE, 1L);
+}
+
 /* Sets the headers that all calls have, and the request's additional ones. */
 static void set_headers(struct http_call *call,
 			const struct http_request *request)
@@ -444,6 +483,10 @@
 	curl_easy_setopt(easy, CURLOPT_TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S);
 	curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT,
 			 (long)request->new_connection);
+	curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, on_connected);
+	curl_easy_setopt(easy, CURLOPT_PREREQDATA, call);
+	if (request->drops_undelivered)
+		set_abort_on_close(call, request);
 }
 
 /* Starts a call. No event is called before the loop runs again. */
--- a/packages/transport/src/http_json.c
+++ b/packages/transport/src/http_json.c
@@ -33,7 +33,10 @@
 	return text;
 }
 
-/* done() is called once, from the loop, unless h is destroyed before. */
+/*
+ * Sends the request once, and not after the call has ended: what would be
+ * delivered later is dropped. done() is called once, from the loop, unless h is
+ * destroyed before. */
 struct http_call *http_json_post_once(struct http *h, const char *url,
 				      const char *const *headers,
 				      const char *body, uint64_t timeout_us,
@@ -47,6 +50,7 @@
 		.timeout_us = timeout_us,
 		.connect_timeout_us = timeout_us,
 		.new_connection = true,
+		.drops_undelivered = true,
 	};
 
 	return http_start(h, &request, events, ctx);
--- a/packages/transport/src/session_upstream.c
+++ b/packages/transport/src/session_upstream.c
@@ -135,13 +135,22 @@
 /*
  * With these a host that vanished is noticed within three seconds, whether or
  * not data is being sent.
+ *
+ * Failure: an order that ends a pause is held up, and its connection is closed.
+ * The system delivers the order later, when another proxy has made a pause of
+ * its own, and the replica confirms an old primary. Guard: each close, also by
+ * the end of the process, drops what the server has not received.
  */
 static void set_options(struct server_conn *conn)
 {
+	const struct linger abort_on_close = { .l_onoff = 1, .l_linger = 0 };
 	uv_os_fd_t fd;
 
 	if (uv_fileno((uv_handle_t *)&conn->link.tcp, &fd))
 		return;
+	if (setsockopt(fd, SOL_SOCKET, SO_LINGER, &abort_on_close,
+		       sizeof(abort_on_close)))
+		LOG_WARN("SO_LINGER could not be set");
 	set_option(fd, IPPROTO_TCP, TCP_NODELAY, 1);
 	set_option(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
 	set_option(fd, IPPROTO_TCP, TCP_KEEPIDLE, 1);
--- a/packages/transport/tests/test_session.c
+++ b/packages/transport/tests/test_session.c
@@ -4,7 +4,11 @@
 #include <celeryquay/transport/session.h>
 #include <celeryquay/transport/session_gather.h>
 
+#include <errno.h>
+#include <poll.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 /* Less than the front's limit for unsent bytes. */
 #define LONG_BYTES ((size_t)3 << 20)
@@ -511,6 +515,52 @@
 }
 END_TEST
 
+static int accepted = -1;
+
+static bool has_accepted(void *listener)
+{
+	struct pollfd p = { .fd = *(int *)listener, .events = POLLIN };
+
+	if (poll(&p, 1, 0) > 0)
+		accepted = accept(p.fd, NULL, NULL);
+	return accepted >= 0;
+}
+
+static bool has_startup(void *ctx)
+{
+	char buf[64];
+
+	(void)ctx;
+	return recv(accepted, buf, sizeof(buf), MSG_DONTWAIT) > 0;
+}
+
+/*
+ * Guards against an order that is delivered after its connection was closed:
+ * an ordinary close would have the system deliver it.
+ */
+START_TEST(test_a_close_drops_what_is_under_way)
+{
+	struct sockaddr_in in = { .sin_family = AF_INET,
+				  .sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
+	socklen_t len = sizeof(in);
+	int listener = socket(AF_INET, SOCK_STREAM, 0);
+	char byte;
+
+	ck_assert(!bind(listener, (struct sockaddr *)&in, sizeof(in)));
+	ck_assert(!listen(listener, 1));
+	getsockname(listener, (struct sockaddr *)&in, &len);
+	connect_to(ntohs(in.sin_port));
+	loop_until(&rig.loop, has_accepted, &listener);
+	loop_until(&rig.loop, has_startup, NULL);
+	session_upstream_close(&rig.ends, CONN);
+	uv_run(&rig.loop, UV_RUN_NOWAIT);
+	ck_assert_int_eq(recv(accepted, &byte, 1, 0), -1);
+	ck_assert_int_eq(errno, ECONNRESET);
+	close(accepted);
+	close(listener);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *t = tcase_create("session");
@@ -525,5 +575,6 @@
 	tcase_add_test(t, a_statement_that_comes_before_a_hang_up_is_answered);
 	tcase_add_test(t, a_caller_that_waits_is_accepted_before_the_end);
 	tcase_add_test(t, test_a_refused_connection_is_told_as_such);
+	tcase_add_test(t, test_a_close_drops_what_is_under_way);
 	return suite_main("session", t);
 }
