relay: a call that nobody waits for is given up

Leaving the phase in which the platform is asked now gives the call up, so that it is dropped as well.

--- a/packages/relay/src/failover.c
+++ b/packages/relay/src/failover.c
@@ -115,8 +115,17 @@
 	log_event_end(l);
 }
 
+/* A call that nobody waits for any more must not reach the platform. */
+static void give_up_call(struct rservice *v)
+{
+	if (rpending_give_up(v->relay->pending, v->name))
+		v->relay->ops->cancel_promotions(v->relay->ctx, v->name);
+}
+
 static void enter(struct rservice *v, enum rphase phase, uint64_t now_us)
 {
+	if (v->phase == PHASE_PROMOTE)
+		give_up_call(v);
 	if (phase != PHASE_WATCH)
 		log_change(v, rfailover_phase_name(phase), v->reason, now_us);
 	v->phase = phase;
@@ -535,18 +544,6 @@
 	abort_change(v, "the target does not lead", now_us);
 }
 
-static void cancel_promotion(struct rservice *v)
-{
-	rpending_on_cancelled(v->relay->pending, v->name);
-	v->relay->ops->cancel_promotions(v->relay->ctx, v->name);
-}
-
-static void on_promotion_timed_out(struct rservice *v, uint64_t now_us)
-{
-	cancel_promotion(v);
-	rfailover_on_promoted(v, RELAY_PROMOTED_UNKNOWN, now_us);
-}
-
 /* Runs the state machine. */
 void rfailover_tick(struct rservice *v, uint64_t now_us)
 {
@@ -574,7 +571,8 @@
 	case PHASE_PROMOTE:
 		rfence_pause_others(v, now_us);
 		if (now_us > v->phase_started_at_us + PROMOTE_TIMEOUT_US)
-			on_promotion_timed_out(v, now_us);
+			rfailover_on_promoted(v, RELAY_PROMOTED_UNKNOWN,
+					      now_us);
 		break;
 	case PHASE_AWAIT_PRIMARY:
 		settle(v, now_us);
@@ -623,10 +621,8 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct rservice *v = value;
 
-		if (v->phase != PHASE_PROMOTE)
-			continue;
-		cancel_promotion(v);
-		abort_change(v, "another has the duty", now_us);
+		if (v->phase == PHASE_PROMOTE)
+			abort_change(v, "another has the duty", now_us);
 	}
 }
 
--- a/packages/relay/src/pending.c
+++ b/packages/relay/src/pending.c
@@ -294,13 +294,20 @@
 	return e == newest_sent(p, service);
 }
 
-void rpending_on_cancelled(struct rpending *p, const char *service)
+bool rpending_give_up(struct rpending *p, const char *service)
 {
+	bool any = false;
 	unsigned i;
 
-	for (i = 0; i < p->entries->len; i++)
-		if (!strcmp(entry_at(p, i)->service, service))
-			entry_at(p, i)->answered = true;
+	for (i = 0; i < p->entries->len; i++) {
+		struct entry *e = entry_at(p, i);
+
+		if (!e->token || e->answered || strcmp(e->service, service))
+			continue;
+		e->answered = true;
+		any = true;
+	}
+	return any;
 }
 
 bool rpending_is_call_open(const struct rpending *p, uint64_t token)
--- a/packages/relay/src/pending.h
+++ b/packages/relay/src/pending.h
@@ -48,8 +48,8 @@
  */
 bool rpending_on_answered(struct rpending *p, const char *service,
 			  uint64_t token, enum relay_promoted outcome);
-/* The service's calls without an answer were given up. */
-void rpending_on_cancelled(struct rpending *p, const char *service);
+/* The service's calls that have no answer are given up; false: none is. */
+bool rpending_give_up(struct rpending *p, const char *service);
 /* Whether a call with another token awaits its answer. */
 bool rpending_is_call_open(const struct rpending *p, uint64_t token);
 /* It had accepted the promotion, which has not taken effect for seconds. */
