relay: a recorded server whose address has a successor is not awaited

For 60 s after a server was replaced the roster still names it. A proxy that started in that time added it as unlisted, and the fence of a change could not be complete until it was dropped 5.5 s later. It is left out if another server of the service is listed at its address. The check is the one that durability uses; there is one copy of it. A change that waits for another service's call no longer logs its candidates with each tick.

--- a/packages/relay/src/durable.c
+++ b/packages/relay/src/durable.c
@@ -159,23 +159,6 @@
 	log_event_end(l);
 }
 
-/* Whether another server has taken over the address and with it the log. */
-static bool is_succeeded(const struct rservice *v, const struct rholder *h)
-{
-	unsigned i;
-
-	for (i = 0; i < v->servers->len; i++) {
-		const struct rserver *s = rservice_server(v, i);
-
-		bool is_same = !strcmp(s->info.id, h->id);
-
-		if (s->listed && !is_same && s->info.port == h->port &&
-		    !strcmp(s->info.host, h->host))
-			return true;
-	}
-	return false;
-}
-
 void rdurable_list_missing(const struct rservice *v, GArray *holders,
 			   uint64_t now_us)
 {
@@ -186,7 +169,7 @@
 		struct relay_holder view = { h->id, h->host, h->port };
 
 		if (!h->restarted && !is_given_up(v, h, now_us) &&
-		    !is_succeeded(v, h))
+		    !rroster_is_succeeded(v, &view))
 			g_array_append_val(holders, view);
 	}
 }
@@ -207,6 +190,13 @@
 	}
 }
 
+static bool is_succeeded(const struct rservice *v, const struct rholder *h)
+{
+	struct relay_holder view = { h->id, h->host, h->port };
+
+	return rroster_is_succeeded(v, &view);
+}
+
 /* Whether the server has received what the primary had since then. */
 static bool has_reached(const struct rservice *v, const struct rserver *s,
 			uint64_t since_us)
--- a/packages/relay/src/failover.c
+++ b/packages/relay/src/failover.c
@@ -460,6 +460,9 @@
 	struct rserver *best = rtarget_choose(v, now_us);
 	const char *by;
 
+	/* The platform might get that call after this one's higher token. */
+	if (rpending_is_call_open(r->pending, r->token))
+		return;
 	rtarget_log_candidates(v, best);
 	if (!best && rtarget_best(v)) {
 		abort_change(v, "another server's promotion may come", now_us);
@@ -478,9 +481,6 @@
 		claim_again(v, now_us);
 		return;
 	}
-	/* The platform might get that one after this one's higher token. */
-	if (rpending_is_call_open(r->pending, r->token))
-		return;
 	v->target = best;
 	rpending_on_sent(r->pending, v->name, best->info.id, r->token, now_us);
 	counter_add(r->n_promotions, 1);
--- a/packages/relay/src/roster.c
+++ b/packages/relay/src/roster.c
@@ -74,6 +74,22 @@
 	return v->sync_replicas && v->configured && !v->peers;
 }
 
+bool rroster_is_succeeded(const struct rservice *v,
+			  const struct relay_holder *h)
+{
+	unsigned i;
+
+	for (i = 0; i < v->servers->len; i++) {
+		const struct rserver *s = rservice_server(v, i);
+
+		if (s->listed && s->info.port == h->port &&
+		    !strcmp(s->info.host, h->host) &&
+		    strcmp(s->info.id, h->id) != 0)
+			return true;
+	}
+	return false;
+}
+
 /* A server that is recorded and not listed. */
 static void add_unlisted(struct rservice *v, const struct relay_holder *h,
 			 uint64_t now_us)
@@ -103,7 +119,8 @@
 	for (i = 0; i < t->recorded->len; i++) {
 		const struct relay_holder *h = t->recorded->pdata[i];
 
-		if (g_hash_table_add(t->known, g_strdup(h->id)))
+		if (g_hash_table_add(t->known, g_strdup(h->id)) &&
+		    !rroster_is_succeeded(v, h))
 			add_unlisted(v, h, now_us);
 	}
 }
--- a/packages/relay/src/roster.h
+++ b/packages/relay/src/roster.h
@@ -13,6 +13,9 @@
 void rroster_destroy(struct rroster *t);
 /* A list of servers was applied, so that record and list can be compared. */
 void rroster_on_listed(struct rservice *v, uint64_t now_us);
+/* Whether another server has taken over the address and with it the log. */
+bool rroster_is_succeeded(const struct rservice *v,
+			  const struct relay_holder *h);
 /* Writes the record if it lacks a server, or names one that is gone. */
 void rroster_tick(struct rservice *v, uint64_t now_us);
 /*
