--- a/packages/relay/src/pending.c
+++ b/packages/relay/src/pending.c
@@ -302,7 +302,8 @@
 	for (i = 0; i < p->entries->len; i++) {
 		struct entry *e = entry_at(p, i);
 
-		if (!e->token || e->answered || strcmp(e->service, service))
+		if (!e->token || e->answered ||
+		    strcmp(e->service, service) != 0)
 			continue;
 		e->answered = true;
 		any = true;
--- a/packages/relay/src/relay_internal.h
+++ b/packages/relay/src/relay_internal.h
@@ -466,8 +466,8 @@
 	uint64_t store_heard_at_us; /* time of the store's last answer */
 	/* All that the store had at this revision has been reported. */
 	uint64_t known_revision;
-	unsigned n_server_lists; /* lists of servers received so far */
 	uint64_t store_era; /* the newest era of the store that was read */
+	unsigned n_server_lists; /* lists of servers received so far */
 	bool store_lost; /* the store does not answer */
 	bool listed; /* a list of servers has been received */
 	uint64_t started_us; /* time of relay_create() */
