relay: the paths of an unlisted replica share their beginning and end

Eight paths of relay_test_sync_replicas repeated how the replica loses its entry, seven how the primary crashes before it is listed again.

--- a/packages/relay/tests/test_sync_replicas.c
+++ b/packages/relay/tests/test_sync_replicas.c
@@ -338,6 +338,21 @@
 	f->servers[server].lag_us = fake_random(f, 100, 400) * MS;
 }
 
+/* The replica whose entry expires is the only one that is up to date. */
+static void lose_the_holder(struct fake *f)
+{
+	fall_behind(f, BEHIND);
+	lose_the_store(f, HOLDER);
+}
+
+/* The replica is listed again that long after the crash. */
+static void crash_primary(struct fake *f, unsigned from_ms, unsigned to_ms)
+{
+	crash_for_a_while(f, PRIMARY);
+	run_for(f, from_ms, to_ms);
+	reach_the_store(f, HOLDER);
+}
+
 static void restart_relays(struct fake *f, unsigned gap_from_ms,
 			   unsigned gap_to_ms)
 {
@@ -354,68 +369,53 @@
 /* Proxies start one after the other and don't know the replica. */
 static void unlisted_holder_and_new_relays(struct fake *f)
 {
-	fall_behind(f, BEHIND);
-	lose_the_store(f, HOLDER);
+	lose_the_holder(f);
 	restart_relays(f, 300, 1000);
 	run_for(f, 0, 1000);
-	crash_for_a_while(f, PRIMARY);
-	run_for(f, 300, 3000);
-	reach_the_store(f, HOLDER);
+	crash_primary(f, 300, 3000);
 	fake_run(f, 12 * USEC_PER_SEC);
 }
 
 /* All proxies start at once. */
 static void unlisted_holder_and_killed_relays(struct fake *f)
 {
-	fall_behind(f, BEHIND);
-	lose_the_store(f, HOLDER);
+	lose_the_holder(f);
 	run_for(f, 0, 1000);
 	restart_relays(f, 0, 0);
 	run_for(f, 500, 4000);
-	crash_for_a_while(f, PRIMARY);
-	run_for(f, 300, 1500);
-	reach_the_store(f, HOLDER);
+	crash_primary(f, 300, 1500);
 	fake_run(f, 14 * USEC_PER_SEC);
 }
 
 /* One proxy is new and may be the first to act; the others know. */
 static void unlisted_holder_and_an_added_relay(struct fake *f)
 {
-	fall_behind(f, BEHIND);
-	lose_the_store(f, HOLDER);
+	lose_the_holder(f);
 	run_for(f, 0, 4000);
 	fake_restart_relay(f, (unsigned)fake_random(f, 0, RELAYS));
 	open_writers(f);
 	run_for(f, 300, 2000);
-	crash_for_a_while(f, PRIMARY);
-	run_for(f, 300, 3000);
-	reach_the_store(f, HOLDER);
+	crash_primary(f, 300, 3000);
 	fake_run(f, 12 * USEC_PER_SEC);
 }
 
 /* It stays without the store for longer than proxies keep what they know. */
 static void long_unlisted_holder(struct fake *f)
 {
-	fall_behind(f, BEHIND);
-	lose_the_store(f, HOLDER);
+	lose_the_holder(f);
 	run_for(f, 4000, 20000);
-	crash_for_a_while(f, PRIMARY);
-	run_for(f, 300, 3000);
-	reach_the_store(f, HOLDER);
+	crash_primary(f, 300, 3000);
 	fake_run(f, 12 * USEC_PER_SEC);
 }
 
 /* The same, and proxies start meanwhile. */
 static void long_unlisted_holder_and_new_relays(struct fake *f)
 {
-	fall_behind(f, BEHIND);
-	lose_the_store(f, HOLDER);
+	lose_the_holder(f);
 	run_for(f, 2000, 15000);
 	restart_relays(f, 0, 1000);
 	run_for(f, 500, 12000);
-	crash_for_a_while(f, PRIMARY);
-	run_for(f, 300, 3000);
-	reach_the_store(f, HOLDER);
+	crash_primary(f, 300, 3000);
 	fake_run(f, 12 * USEC_PER_SEC);
 }
 
@@ -439,8 +439,7 @@
 
 static void holder_unlisted_twice(struct fake *f)
 {
-	fall_behind(f, BEHIND);
-	lose_the_store(f, HOLDER);
+	lose_the_holder(f);
 	run_for(f, 500, 7000);
 	reach_the_store(f, HOLDER);
 	run_for(f, 0, 1500);
@@ -448,9 +447,7 @@
 	run_for(f, 0, 3000);
 	if (fake_chance(f, 0.5))
 		restart_relays(f, 100, 500);
-	crash_for_a_while(f, PRIMARY);
-	run_for(f, 300, 3000);
-	reach_the_store(f, HOLDER);
+	crash_primary(f, 300, 3000);
 	fake_run(f, 12 * USEC_PER_SEC);
 }
 
@@ -467,17 +464,14 @@
 	run_for(f, 0, 4000);
 	if (fake_chance(f, 0.5))
 		restart_relays(f, 100, 500);
-	crash_for_a_while(f, PRIMARY);
-	run_for(f, 300, 3000);
-	reach_the_store(f, HOLDER);
+	crash_primary(f, 300, 3000);
 	fake_run(f, 14 * USEC_PER_SEC);
 }
 
 /* It ends, and a new server has its log at its address. */
 static void unlisted_holder_is_succeeded(struct fake *f)
 {
-	fall_behind(f, BEHIND);
-	lose_the_store(f, HOLDER);
+	lose_the_holder(f);
 	run_for(f, 500, 3000);
 	if (fake_chance(f, 0.5))
 		restart_relays(f, 100, 400);
@@ -494,8 +488,7 @@
 {
 	unsigned i;
 
-	fall_behind(f, BEHIND);
-	lose_the_store(f, HOLDER);
+	lose_the_holder(f);
 	restart_relays(f, 100, 600);
 	for (i = 0; i < RELAYS; i++)
 		fake_cut(f, i, PRIMARY, true);
