--- a/packages/relay/src/relay_internal.h
+++ b/packages/relay/src/relay_internal.h
@@ -7,17 +7,16 @@
  * rrun_ the statement that a session has in flight, rpick_ the choice of the
  * server that runs it, rprimary_ who is primary and for how long that is
  * certain, rtrust_ which replicas' confirmations of that are trusted,
- * rfailover_ failover, the replacement of a primary, rtarget_ who may be
- * promoted, rdurable_ whether it has all that was acknowledged, rroster_ who
- * may have that, rfence_ the
- * fence, rduty_ the duty record, rpending_ promotions that may still take
- * effect, rcleanup_ cleanup after failovers, rpartition_
- * network partitions, peers_ other proxies, role_ roles, rank_ ranks, via_
- * homes that sessions go through, raccount_ client accounts, rlimit_ their
- * limits, rgrantor_ the proxies that grant tokens of these, routlier_ servers
- * that fail in part, inflight_ limits of what is in flight at a server, rlog_
- * log lines, rmetrics_ metrics, rstatus_ what /status says, rstop_ planned
- * stops.
+ * rsuspect_ whether that server must be replaced, rfailover_ failover, the
+ * replacement of a primary, rtarget_ who may be promoted, rdurable_ whether it
+ * has all that was acknowledged, rroster_ who may have that, rfence_ the fence,
+ * rduty_ the duty record, rpending_ promotions that may still take effect,
+ * rcleanup_ cleanup after failovers, rpartition_ network partitions, peers_
+ * other proxies, role_ roles, rank_ ranks, via_ homes that sessions go through,
+ * raccount_ client accounts, rlimit_ their limits, rgrantor_ the proxies that
+ * grant tokens of these, routlier_ servers that fail in part, inflight_ limits
+ * of what is in flight at a server, rlog_ log lines, rmetrics_ metrics,
+ * rstatus_ what /status says, rstop_ planned stops.
  */
 
 #include <celeryquay/base/log_event.h>
