relay: the wait for a promotion in durability tests is written once

Seven tests of test_sync_replicas.c and test_unlisted_replica.c ended with the same three lines: run for the bound, and expect one promotion.

--- a/packages/relay/tests/support_durable.c
+++ b/packages/relay/tests/support_durable.c
@@ -172,3 +172,9 @@
 		      DURABLE_SEEDS, wrong->str);
 	g_string_free(wrong, TRUE);
 }
+
+void durable_check_promotion(struct fake *f, uint64_t within_us)
+{
+	fake_run(f, within_us);
+	ck_assert_uint_eq(f->n_promotions, 1);
+}
--- a/packages/relay/tests/support_durable.h
+++ b/packages/relay/tests/support_durable.h
@@ -31,6 +31,8 @@
 
 /* No seed may show a violation. */
 void durable_check_path(const struct durable_path *path);
+/* The first and only promotion so far is made by then. */
+void durable_check_promotion(struct fake *f, uint64_t within_us);
 
 struct fake *durable_start(uint32_t seed);
 struct fake *durable_start_with(uint32_t seed, unsigned sync_replicas);
--- a/packages/relay/tests/test_sync_replicas.c
+++ b/packages/relay/tests/test_sync_replicas.c
@@ -364,8 +364,7 @@
 {
 	struct fake *f = start_without_holder((uint32_t)_i);
 
-	fake_run(f, DURABLE_GIVEN_UP_US);
-	ck_assert_uint_eq(f->n_promotions, 1);
+	durable_check_promotion(f, DURABLE_GIVEN_UP_US);
 	fake_destroy(f);
 }
 END_TEST
@@ -386,8 +385,7 @@
 	for (i = 0; i < DURABLE_RELAYS; i++)
 		relay_on_catalog(f->relays[i].relay, catalog, f->now_us);
 	relay_catalog_unref(catalog);
-	fake_run(f, DURABLE_FAILOVER_MAX_US);
-	ck_assert_uint_eq(f->n_promotions, 1);
+	durable_check_promotion(f, DURABLE_FAILOVER_MAX_US);
 	fake_destroy(f);
 }
 END_TEST
@@ -400,8 +398,7 @@
 	fake_crash(f, HOLDER);
 	fake_run(f, DURABLE_GIVEN_UP_US);
 	fake_crash(f, PRIMARY);
-	fake_run(f, DURABLE_FAILOVER_MAX_US);
-	ck_assert_uint_eq(f->n_promotions, 1);
+	durable_check_promotion(f, DURABLE_FAILOVER_MAX_US);
 	fake_destroy(f);
 }
 END_TEST
--- a/packages/relay/tests/test_unlisted_replica.c
+++ b/packages/relay/tests/test_unlisted_replica.c
@@ -190,8 +190,7 @@
 	durable_restart_relays(f, 0, 0);
 	fake_run(f, USEC_PER_SEC);
 	fake_crash(f, PRIMARY);
-	fake_run(f, DURABLE_FAILOVER_MAX_US);
-	ck_assert_uint_eq(f->n_promotions, 1);
+	durable_check_promotion(f, DURABLE_FAILOVER_MAX_US);
 	fake_destroy(f);
 }
 END_TEST
@@ -204,8 +203,7 @@
 	durable_restart_relays(f, 0, 0);
 	fake_run(f, USEC_PER_SEC);
 	durable_leave(f, PRIMARY, 9 * USEC_PER_SEC);
-	fake_run(f, DURABLE_FAILOVER_MAX_US);
-	ck_assert_uint_eq(f->n_promotions, 1);
+	durable_check_promotion(f, DURABLE_FAILOVER_MAX_US);
 	fake_destroy(f);
 }
 END_TEST
@@ -218,8 +216,7 @@
 	durable_restart_relays(f, 0, 0);
 	fake_run(f, USEC_PER_SEC);
 	fake_crash(f, PRIMARY);
-	fake_run(f, DURABLE_FAILOVER_MAX_US);
-	ck_assert_uint_eq(f->n_promotions, 1);
+	durable_check_promotion(f, DURABLE_FAILOVER_MAX_US);
 	fake_destroy(f);
 }
 END_TEST
@@ -234,8 +231,7 @@
 	fake_crash(f, PRIMARY);
 	fake_run(f, DURABLE_START_WAIT_US - USEC_PER_SEC);
 	ck_assert_uint_eq(f->n_promotions, 0);
-	fake_run(f, DURABLE_GIVEN_UP_US - DURABLE_START_WAIT_US);
-	ck_assert_uint_eq(f->n_promotions, 1);
+	durable_check_promotion(f, DURABLE_GIVEN_UP_US - DURABLE_START_WAIT_US);
 	fake_destroy(f);
 }
 END_TEST
